--- /dev/null
+++ b/cmake/GypsumstepDependencies.cmake
@@ -0,0 +1,13 @@
+# Every third-party library of the workspace, found in one place.
+find_package(Boost 1.81 REQUIRED)
+find_package(nlohmann_json 3.11 REQUIRED)
+find_package(Qt6 REQUIRED COMPONENTS Core Network HttpServer WebSockets)
+find_package(absl REQUIRED)
+find_package(Catch2 2 REQUIRED)
+find_package(SQLite3 REQUIRED)
+find_package(PostgreSQL REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(log4cplus REQUIRED IMPORTED_TARGET log4cplus)
--- /dev/null
+++ b/cmake/gypsumstepConfig.cmake
@@ -0,0 +1,6 @@
+include(CMakeFindDependencyMacro)
+find_dependency(Boost 1.81)
+find_dependency(nlohmann_json 3.11)
+find_dependency(PkgConfig)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+include(${CMAKE_CURRENT_LIST_DIR}/gypsumstepTargets.cmake)
--- /dev/null
+++ b/packages/base/include/gypsumstep/base/rank.h
@@ -0,0 +1,30 @@
+/// \file
+/// The ranks of work, most urgent first.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace gypsumstep {
+
+/// How urgent a request is; lower values are served first.
+enum class rank : std::uint8_t {
+    urgent = 0,
+    next = 1,
+    last = 2,
+};
+
+/// Number of ranks.
+inline constexpr std::size_t rank_count = 3;
+
+/// All ranks in the order of service.
+inline constexpr std::array<rank, rank_count> all_ranks{rank::urgent, rank::next, rank::last};
+
+/// The index of a rank in an array of rank_count entries.
+[[nodiscard]] constexpr std::size_t index_of(rank value)
+{
+    return static_cast<std::size_t>(value);
+}
+
+} // namespace gypsumstep
