--- /dev/null
+++ b/packages/session/include/gypsumstep/session/setting_statement.h
@@ -0,0 +1,36 @@
+/// \file
+/// Recognises the statements that the proxy answers itself.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace gypsumstep::session {
+
+/// "SET gypsumstep.NAME = 'VALUE'" or "SHOW gypsumstep.NAME".
+struct setting_statement {
+    enum class action {
+        set,
+        show,
+    };
+
+    action what{action::set};
+    std::string name; ///< without the prefix
+    std::string value;
+
+    friend bool operator==(const setting_statement&, const setting_statement&) = default;
+};
+
+/// Nothing if \p sql is not exactly one SET or SHOW of a proxy setting.
+[[nodiscard]] std::optional<setting_statement> parse_setting_statement(std::string_view sql);
+
+/// Name and value pairs of the proxy's settings in a startup "options" parameter
+/// ("-c gypsumstep.mode=read -c gypsumstep.rank=urgent"); names without the prefix.
+/// A backslash escapes the next character, as in libpq.
+[[nodiscard]] std::vector<std::pair<std::string, std::string>>
+parse_startup_options(std::string_view options);
+
+} // namespace gypsumstep::session
