--- a/packages/base/include/gypsumstep/base/finding.h
+++ b/packages/base/include/gypsumstep/base/finding.h
@@ -17,11 +17,18 @@
     friend auto operator<=>(const source_place&, const source_place&) = default;
 };
 
+/// How bad a finding is.
+enum class severity : std::uint8_t {
+    error,   ///< the document is not used
+    warning, ///< the document is used; the finding is shown
+};
+
 /// One problem at one place.
 struct finding {
     source_place place;
     std::string path;    ///< JSON pointer of the key, e.g. "/daemon/listen/port"
     std::string message; ///< what is wrong, for people
+    severity level{severity::error};
 
     friend auto operator<=>(const finding&, const finding&) = default;
 };
@@ -29,7 +36,7 @@
 /// All problems of one document, in the order of their places.
 using findings = std::vector<finding>;
 
-/// "FILE:LINE:COLUMN: PATH: MESSAGE".
+/// "FILE:LINE:COLUMN: PATH: MESSAGE"; the message of a warning starts with "warning: ".
 [[nodiscard]] std::string to_string(const finding& value);
 
 } // namespace gypsumstep
