Decide failover of a group in a pure package

Cause: nothing replaced a failed primary.

Ruled out: a lease as the ground of safety (its holder may be paused); asking the target of a hand-over for its grant before it has the old primary's last entries (it would refuse them), so the target's grant is part of its promotion; starting over at once after losing a term (a higher term fences the winner).

Before: no package.

Conclusion: safety rests on grants alone, the claim row only keeps claimants from competing.

--- /dev/null
+++ b/packages/failover/include/gypsumstep/failover/detail/group_watcher_impl.h
@@ -0,0 +1,380 @@
+/// \file
+/// Members of basic_group_watcher; included where it is instantiated.
+#pragma once
+
+#include "gypsumstep/failover/group_watcher.h"
+
+namespace gypsumstep::failover {
+
+template <failover_rules Rules>
+basic_group_watcher<Rules>::basic_group_watcher(daemon_id self, std::vector<server_id> servers,
+                                                const settings& limits, random_source random)
+    : m_self{self}, m_servers{std::move(servers)}, m_settings{limits}, m_random{std::move(random)},
+      m_suspicion{m_servers.size(), limits}
+{
+}
+
+template <failover_rules Rules>
+actions basic_group_watcher<Rules>::step(const event& what, time_point now)
+{
+    actions out;
+    if (m_last_step && now - *m_last_step > m_settings.pause_limit) {
+        resume_after_pause(now);
+    }
+    m_last_step = now;
+    std::visit([&](const auto& value) { handle(value, now, out); }, what);
+    vote(now, out);
+    consider_start(now);
+    advance_claim(now, out);
+    advance_election(now, out);
+    m_recorder.advance(m_board, m_settings, now, out);
+    if (m_order && now >= m_order->deadline) {
+        finish_order(order_outcome::failed, "no primary took office in time", out);
+    }
+    return out;
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const tick&, time_point, actions&)
+{
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const homed_servers& what, time_point now, actions&)
+{
+    m_suspicion.watch(what.servers, now);
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const health_report& what, time_point now, actions& out)
+{
+    m_highest = std::max({m_highest, what.granted, what.highest_seen});
+    m_suspicion.report(what, m_known, now);
+    if (what.primary.primary_term > m_known.primary_term) {
+        learn(what.primary, now, out);
+        if (what.role == server_role::primary) {
+            // Its claimant may have died after the promotion: finish in its place.
+            out.emplace_back(announce{m_known, {}});
+            m_recorder.start(m_known, {m_self, ++m_claims}, now + m_settings.record_patience);
+        }
+    }
+    else if (what.primary.primary_term < m_known.primary_term) {
+        out.emplace_back(follow_primary{what.server, m_known});
+    }
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const grant_answer& what, time_point now, actions&)
+{
+    m_highest = std::max(m_highest, what.highest);
+    if (m_round && m_round->election) {
+        m_round->election->answer(what, now);
+    }
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const promote_answer& what, time_point, actions&)
+{
+    m_highest = std::max(m_highest, what.highest);
+    if (m_round && m_round->election) {
+        m_round->election->answer(what);
+    }
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const claim_read& what, time_point now, actions& out)
+{
+    if (what.status == platform_status::done) {
+        see_row(what.row, now, out);
+    }
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const claim_written& what, time_point now, actions& out)
+{
+    if (what.status != platform_status::unavailable) {
+        see_row(what.row, now, out);
+    }
+    m_recorder.answered(what, now);
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const suspicion& what, time_point now, actions& out)
+{
+    if (what.known.primary_term < m_known.primary_term) {
+        out.emplace_back(announce{m_known, what.from});
+    }
+    learn(what.known, now, out);
+    m_suspicion.vote(what, now);
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const announcement& what, time_point now, actions& out)
+{
+    learn(what.primary, now, out);
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const operator_order& what, time_point now, actions& out)
+{
+    const bool valid = !what.target || std::find(m_servers.begin(), m_servers.end(),
+                                                 *what.target) != m_servers.end();
+    const auto refuse = [&](const char* reason) {
+        out.emplace_back(order_finished{what.order, order_outcome::refused, reason, m_known});
+    };
+    if (!valid) {
+        refuse("the target is not a server of this group");
+    }
+    else if (m_round || m_order) {
+        refuse("another round is under way");
+    }
+    else if (what.target && m_known.names(*what.target)) {
+        out.emplace_back(order_finished{what.order, order_outcome::done, "already so", m_known});
+    }
+    else {
+        m_order = pending_order{what, now + m_settings.order_limit};
+        begin_round(now);
+    }
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::handle(const set_automation& what, time_point, actions&)
+{
+    m_automation = what.enabled;
+}
+
+/// What was heard before a pause of this VM says nothing about the time since.
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::resume_after_pause(time_point now)
+{
+    m_suspicion.restart(now);
+    m_round.reset();
+    m_start_planned = false;
+    m_finish_until = time_point::min();
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::learn(const primary_view& primary, time_point now, actions& out)
+{
+    if (primary.primary_term <= m_known.primary_term) {
+        return;
+    }
+    m_known = primary;
+    m_highest = std::max(m_highest, primary.primary_term);
+    m_suspicion.restart(now);
+    m_recorder.observe(primary);
+    m_round.reset();
+    m_start_planned = false;
+    m_finish_until = time_point::min();
+    for (const server_id server : m_suspicion.homed()) {
+        out.emplace_back(follow_primary{server, primary});
+    }
+    if (m_order) {
+        const auto& target = m_order->order.target;
+        const bool wanted = !target || *target == primary.server;
+        finish_order(wanted ? order_outcome::done : order_outcome::superseded,
+                     wanted ? "" : "another server took office", out);
+    }
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::finish_order(order_outcome outcome, const std::string& reason,
+                                              actions& out)
+{
+    out.emplace_back(order_finished{m_order->order.order, outcome, reason, m_known});
+    m_order.reset();
+}
+
+/// Tells the other watchers what the homed servers' views are, and asks for the row early.
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::vote(time_point now, actions& out)
+{
+    for (const server_id server : m_suspicion.homed()) {
+        const bool suspected = m_suspicion.suspects(server, m_known, now);
+        const auto next = m_next_vote.find(server);
+        const bool voted = next != m_next_vote.end();
+        if (suspected && !voted) {
+            out.emplace_back(read_claim{});
+        }
+        if (suspected ? (!voted || now >= next->second) : voted) {
+            out.emplace_back(send_suspicion{{m_self, server, m_known, suspected}});
+            m_next_vote[server] = now + m_settings.vote_interval;
+        }
+        if (!suspected) {
+            m_next_vote.erase(server);
+        }
+    }
+}
+
+/// Whether this watcher fenced servers and nobody is known to have taken office since.
+template <failover_rules Rules>
+bool basic_group_watcher<Rules>::finishing(time_point now) const
+{
+    return now < m_finish_until;
+}
+
+template <failover_rules Rules>
+bool basic_group_watcher<Rules>::may_fence(time_point now) const
+{
+    return m_order || finishing(now) || (m_automation && m_suspicion.agreed(m_known, now));
+}
+
+template <failover_rules Rules>
+term basic_group_watcher<Rules>::next_term() const
+{
+    term highest = std::max(m_highest, m_known.primary_term);
+    if (m_board.known() && m_board.row().claim.claimant != m_self) {
+        highest = std::max(highest, m_board.row().claimed);
+    }
+    return highest.next();
+}
+
+template <failover_rules Rules>
+std::optional<hand_over> basic_group_watcher<Rules>::planned_hand_over(time_point now) const
+{
+    const bool working = m_known.primary_term > term{} && !m_suspicion.agreed(m_known, now);
+    if (!m_order || !working || finishing(now)) {
+        return std::nullopt;
+    }
+    for (const server_id server : m_servers) {
+        if (!m_known.names(server) && m_order->order.target.value_or(server) == server) {
+            return hand_over{m_known.server, server};
+        }
+    }
+    return std::nullopt;
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::see_row(const claim_row& row, time_point now, actions& out)
+{
+    m_board.see(row, now);
+    if (m_board.row().phase == claim_phase::recorded) {
+        learn(m_board.row().primary, now, out);
+    }
+    if (!m_round || m_round->election) {
+        return;
+    }
+    if (m_board.row().claim == m_round->claim) {
+        open_election(now);
+        return;
+    }
+    const time_point held = m_board.held_until(m_self, m_known, m_settings.claim_patience);
+    if (now >= held) {
+        m_round->next_platform_send = now;
+        return;
+    }
+    m_round.reset();
+    m_not_before = held + m_random.between(duration{0}, m_settings.start_jitter);
+    if (m_order) {
+        finish_order(order_outcome::refused, "another daemon's claim is open", out);
+    }
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::consider_start(time_point now)
+{
+    if (m_round) {
+        return;
+    }
+    if (!may_fence(now)) {
+        m_start_planned = false;
+        return;
+    }
+    if (!m_start_planned) {
+        m_start_planned = true;
+        m_not_before =
+            std::max(m_not_before, now + m_random.between(duration{0}, m_settings.start_jitter));
+    }
+    const time_point held = m_board.held_until(m_self, m_known, m_settings.claim_patience);
+    if (now >= m_not_before && now >= held) {
+        begin_round(now);
+    }
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::begin_round(time_point now)
+{
+    m_round.emplace(round{{m_self, ++m_claims}, now + m_settings.platform_wait, now, std::nullopt});
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::advance_claim(time_point now, actions& out)
+{
+    if (!m_round || m_round->election) {
+        return;
+    }
+    if (!may_fence(now)) {
+        m_round.reset();
+        return;
+    }
+    const bool may_skip =
+        m_order || m_settings.when_platform_down == platform_policy::proceed_by_grants;
+    if (may_skip && now >= m_round->platform_deadline) {
+        open_election(now);
+        return;
+    }
+    if (now < m_round->next_platform_send) {
+        return;
+    }
+    m_round->next_platform_send = now + m_settings.platform_resend;
+    if (m_board.known()) {
+        // Repeating the write after a lost answer is harmless: the conflict returns this claim.
+        out.emplace_back(write_claim{{m_board.row().version + 1, next_term(), m_round->claim,
+                                      claim_phase::claimed, m_known}});
+    }
+    else {
+        out.emplace_back(read_claim{});
+    }
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::open_election(time_point now)
+{
+    if (!may_fence(now)) {
+        m_round.reset();
+        return;
+    }
+    const election_plan plan{next_term(), m_round->claim, m_servers, planned_hand_over(now)};
+    m_highest = plan.asked; // a later round never asks for this term again
+    m_round->election.emplace(plan, m_settings, now);
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::advance_election(time_point now, actions& out)
+{
+    if (!m_round || !m_round->election) {
+        return;
+    }
+    basic_election<Rules>& ballot = *m_round->election;
+    ballot.advance(now, out);
+    if (ballot.status() == election_status::running) {
+        return;
+    }
+    if (ballot.status() == election_status::promoted) {
+        const primary_view winner = ballot.winner();
+        learn(winner, now, out);
+        out.emplace_back(announce{winner, {}});
+        m_recorder.start(winner, {m_self, ++m_claims}, now);
+        m_recorder.advance(m_board, m_settings, now, out);
+        return;
+    }
+    give_up(ballot.status(), now);
+}
+
+template <failover_rules Rules>
+void basic_group_watcher<Rules>::give_up(election_status reason, time_point now)
+{
+    m_round.reset();
+    m_start_planned = true;
+    if (reason == election_status::lost) {
+        // The winner needs time to promote; a higher term would fence it again.
+        const duration backoff = m_settings.retry_backoff;
+        m_not_before = now + m_random.between(backoff, 2 * backoff);
+    }
+    else {
+        m_not_before = now + m_random.between(duration{0}, m_settings.start_jitter);
+    }
+    m_finish_until = now + m_settings.finish_limit;
+}
+
+} // namespace gypsumstep::failover
--- /dev/null
+++ b/packages/failover/include/gypsumstep/failover/election.h
@@ -0,0 +1,216 @@
+/// \file
+/// One round of grants and promotion for one term.
+#pragma once
+
+#include "gypsumstep/commit/rules.h"
+#include "gypsumstep/failover/actions.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace gypsumstep::failover {
+
+/// A hand-over from a working primary to another server.
+struct hand_over {
+    server_id from;
+    server_id to;
+
+    friend auto operator<=>(const hand_over&, const hand_over&) = default;
+};
+
+/// What a round is about.
+struct election_plan {
+    term asked;
+    claim_id claim;
+    std::vector<server_id> servers;       ///< the whole group
+    std::optional<hand_over> handed_over; ///< nothing: promote the most advanced server
+
+    friend auto operator<=>(const election_plan&, const election_plan&) = default;
+};
+
+/// How a round stands.
+enum class election_status {
+    running,
+    promoted,     ///< \c winner is the primary of the round's term
+    lost,         ///< another claimant has the term or a higher one
+    unreachable,  ///< no majority of grants in time
+    not_promoted, ///< the chosen server did not take office in time
+};
+
+/// Asks for grants, then promotes one server; never two in one term.
+///
+/// In a hand-over the old primary's grant ends its office and names its last
+/// position. The target is then promoted with that position as a condition and
+/// its own grant is part of its taking office, so that writes stop for about one
+/// round trip. If the old primary does not answer, the round turns into an election.
+template <failover_rules Rules = standard_rules>
+class basic_election {
+public:
+    basic_election(election_plan plan, const settings& limits, time_point now)
+        : m_plan{std::move(plan)}, m_settings{limits}, m_started{now}, m_next_send{now}
+    {
+    }
+
+    [[nodiscard]] election_status status() const { return m_status; }
+
+    /// The round's claim.
+    [[nodiscard]] const claim_id& claim() const { return m_plan.claim; }
+
+    /// The chosen server in its term; valid once promoted.
+    [[nodiscard]] primary_view winner() const { return {m_plan.asked, m_choice->server}; }
+
+    /// The highest term that any answer named.
+    [[nodiscard]] term highest_seen() const { return m_highest_seen; }
+
+    /// Takes in a server's answer.
+    void answer(const grant_answer& answer, time_point now)
+    {
+        m_highest_seen = std::max(m_highest_seen, answer.highest);
+        if (answer.claim != m_plan.claim || answer.asked != m_plan.asked || m_choice) {
+            return;
+        }
+        m_answers[answer.server] = answer;
+        choose(now);
+    }
+
+    /// Takes in the chosen server's answer.
+    void answer(const promote_answer& answer)
+    {
+        m_highest_seen = std::max(m_highest_seen, answer.highest);
+        const bool expected = answer.claim == m_plan.claim && answer.asked == m_plan.asked &&
+                              m_choice && m_choice->server == answer.server;
+        if (!expected || m_status != election_status::running) {
+            return;
+        }
+        if (answer.answer == promotion_answer::promoted) {
+            m_status = election_status::promoted;
+        }
+        else if (answer.answer == promotion_answer::refused) {
+            m_status = election_status::lost;
+        }
+    }
+
+    /// Sends what is due and gives up what is overdue.
+    void advance(time_point now, actions& out)
+    {
+        if (m_status != election_status::running) {
+            return;
+        }
+        if (m_plan.handed_over && !m_choice && now >= m_started + m_settings.hand_over_wait) {
+            m_plan.handed_over.reset();
+            m_next_send = now;
+            choose(now);
+        }
+        if (m_choice) {
+            advance_promotion(now, out);
+        }
+        else {
+            advance_grants(now, out);
+        }
+    }
+
+private:
+    struct choice {
+        server_id server;
+        log_position at_least;
+        time_point at;
+    };
+
+    [[nodiscard]] std::size_t count(bool granted) const
+    {
+        const auto same = [&](const auto& entry) { return entry.second.granted == granted; };
+        return static_cast<std::size_t>(std::count_if(m_answers.begin(), m_answers.end(), same));
+    }
+
+    [[nodiscard]] std::size_t majority() const
+    {
+        return commit::majority_of(m_plan.servers.size());
+    }
+
+    /// Settles on one server once enough grants are in.
+    void choose(time_point now)
+    {
+        if (m_plan.handed_over) {
+            const auto from = m_answers.find(m_plan.handed_over->from);
+            const bool ended = from != m_answers.end() && from->second.granted;
+            if (ended && count(true) + 1 >= majority()) {
+                settle({m_plan.handed_over->to, from->second.last, now});
+            }
+        }
+        else if (count(true) >= majority()) {
+            const grant_answer& best = most_advanced();
+            settle({best.server, best.last, now});
+        }
+    }
+
+    void settle(const choice& chosen)
+    {
+        m_choice = chosen;
+        m_next_send = chosen.at;
+    }
+
+    [[nodiscard]] const grant_answer& most_advanced() const
+    {
+        const auto worse = [](const auto& left, const auto& right) {
+            const grant_answer& l = left.second;
+            const grant_answer& r = right.second;
+            if (l.granted != r.granted) {
+                return r.granted;
+            }
+            return Rules::less_advanced(l.last, r.last);
+        };
+        return std::max_element(m_answers.begin(), m_answers.end(), worse)->second;
+    }
+
+    void advance_grants(time_point now, actions& out)
+    {
+        if (count(false) > m_plan.servers.size() - majority()) {
+            m_status = election_status::lost;
+            return;
+        }
+        if (now >= m_started + m_settings.grant_wait) {
+            m_status = election_status::unreachable;
+            return;
+        }
+        if (now < m_next_send) {
+            return;
+        }
+        m_next_send = now + m_settings.resend;
+        for (const server_id server : m_plan.servers) {
+            const bool target = m_plan.handed_over && m_plan.handed_over->to == server;
+            if (!target && !m_answers.contains(server)) {
+                out.emplace_back(ask_grant{server, m_plan.asked, m_plan.claim});
+            }
+        }
+    }
+
+    void advance_promotion(time_point now, actions& out)
+    {
+        if (now >= m_choice->at + m_settings.promote_wait) {
+            m_status = election_status::not_promoted;
+            return;
+        }
+        if (now < m_next_send) {
+            return;
+        }
+        m_next_send = now + (m_plan.handed_over ? m_settings.catch_up_interval : m_settings.resend);
+        out.emplace_back(promote{m_choice->server, m_plan.asked, m_plan.claim, m_choice->at_least});
+    }
+
+    election_plan m_plan;
+    settings m_settings;
+    time_point m_started;
+    time_point m_next_send;
+    election_status m_status{election_status::running};
+    std::map<server_id, grant_answer> m_answers;
+    std::optional<choice> m_choice;
+    term m_highest_seen;
+};
+
+/// The round of production.
+using election = basic_election<>;
+
+extern template class basic_election<standard_rules>;
+
+} // namespace gypsumstep::failover
--- /dev/null
+++ b/packages/failover/src/claim_board.cpp
@@ -0,0 +1,78 @@
+#include "gypsumstep/failover/claim_board.h"
+
+#include <algorithm>
+
+namespace gypsumstep::failover {
+
+void claim_board::see(const claim_row& row, time_point now)
+{
+    if (!m_known || row.version > m_row.version) {
+        m_row = row;
+        m_seen_at = now;
+        m_known = true;
+    }
+}
+
+time_point claim_board::held_until(daemon_id self, const primary_view& known,
+                                   duration patience) const
+{
+    const bool open = m_known && m_row.phase == claim_phase::claimed &&
+                      m_row.claimed > known.primary_term && m_row.claim.claimant != self;
+    return open ? m_seen_at + patience : time_point::min();
+}
+
+void claim_recorder::start(const primary_view& primary, const claim_id& claim, time_point due)
+{
+    m_job = job{primary, claim, due};
+}
+
+void claim_recorder::observe(const primary_view& known)
+{
+    if (m_job && known.primary_term > m_job->primary.primary_term) {
+        m_job.reset();
+    }
+}
+
+void claim_recorder::answered(const claim_written& answer, time_point now)
+{
+    if (!m_job || answer.claim != m_job->claim) {
+        return;
+    }
+    if (answer.status == platform_status::done) {
+        m_job.reset();
+    }
+    else if (answer.status == platform_status::conflict) {
+        m_job->due = now;
+    }
+}
+
+void claim_recorder::advance(const claim_board& board, const settings& limits, time_point now,
+                             actions& out)
+{
+    if (!m_job || now < m_job->due) {
+        return;
+    }
+    m_job->due = now + limits.platform_resend;
+    if (!board.known()) {
+        out.emplace_back(read_claim{});
+        return;
+    }
+    const claim_row& row = board.row();
+    const bool stored = row.phase == claim_phase::recorded &&
+                        row.primary.primary_term >= m_job->primary.primary_term;
+    if (stored) {
+        m_job.reset();
+        return;
+    }
+    const time_point held =
+        board.held_until(m_job->claim.claimant, m_job->primary, limits.claim_patience);
+    if (now < held) {
+        m_job->due = held;
+        return;
+    }
+    out.emplace_back(
+        write_claim{{row.version + 1, std::max(row.claimed, m_job->primary.primary_term),
+                     m_job->claim, claim_phase::recorded, m_job->primary}});
+}
+
+} // namespace gypsumstep::failover
--- /dev/null
+++ b/packages/failover/src/suspicion.cpp
@@ -0,0 +1,107 @@
+#include "gypsumstep/failover/suspicion.h"
+
+#include "gypsumstep/commit/rules.h"
+
+#include <set>
+
+namespace gypsumstep::failover {
+
+suspicion_tracker::suspicion_tracker(std::size_t group_size, const settings& limits)
+    : m_group_size{group_size}, m_settings{limits}
+{
+}
+
+void suspicion_tracker::watch(const std::vector<server_id>& servers, time_point now)
+{
+    std::map<server_id, observation> homed;
+    for (const server_id server : servers) {
+        const auto known = m_homed.find(server);
+        homed[server] = known != m_homed.end() ? known->second : observation{now, {}, {}};
+    }
+    m_homed = std::move(homed);
+}
+
+std::vector<server_id> suspicion_tracker::homed() const
+{
+    std::vector<server_id> servers;
+    for (const auto& entry : m_homed) {
+        servers.push_back(entry.first);
+    }
+    return servers;
+}
+
+void suspicion_tracker::report(const health_report& report, const primary_view& known,
+                               time_point now)
+{
+    const auto found = m_homed.find(report.server);
+    if (found == m_homed.end()) {
+        return;
+    }
+    observation& seen = found->second;
+    seen.at = now;
+    seen.report = report;
+    if (report.highest_seen <= known.primary_term) {
+        seen.disputed_since.reset();
+    }
+    else if (!seen.disputed_since) {
+        seen.disputed_since = now;
+    }
+}
+
+void suspicion_tracker::vote(const suspicion& vote, time_point now)
+{
+    m_votes[{vote.server, vote.from}] = {vote.known, now, vote.suspected};
+}
+
+void suspicion_tracker::restart(time_point now)
+{
+    m_votes.clear();
+    for (auto& entry : m_homed) {
+        entry.second = {now, {}, {}};
+    }
+}
+
+bool suspicion_tracker::suspects(server_id server, const primary_view& known, time_point now) const
+{
+    const auto found = m_homed.find(server);
+    if (found == m_homed.end()) {
+        return false;
+    }
+    const observation& seen = found->second;
+    const duration silence = now - seen.at;
+    if (!seen.report || silence >= m_settings.report_timeout) {
+        return known.names(server) && silence >= m_settings.contact_timeout;
+    }
+    const health_report& report = *seen.report;
+    if (report.role == server_role::primary && report.primary.primary_term != known.primary_term) {
+        return false; // a replaced primary says nothing about its successor
+    }
+    const bool disputed =
+        seen.disputed_since && now - *seen.disputed_since >= m_settings.contact_timeout;
+    return disputed || report.primary_contact_age + silence >= m_settings.contact_timeout;
+}
+
+bool suspicion_tracker::agreed(const primary_view& known, time_point now) const
+{
+    std::set<server_id> suspecting;
+    for (const auto& entry : m_homed) {
+        if (suspects(entry.first, known, now)) {
+            suspecting.insert(entry.first);
+        }
+    }
+    for (const auto& [key, vote] : m_votes) {
+        const bool fresh = now - vote.at < m_settings.vote_lifetime;
+        if (fresh && vote.suspected && vote.known.primary_term == known.primary_term) {
+            suspecting.insert(key.first);
+        }
+    }
+    return suspecting.size() >= commit::majority_of(m_group_size);
+}
+
+std::optional<health_report> suspicion_tracker::last_report(server_id server) const
+{
+    const auto found = m_homed.find(server);
+    return found == m_homed.end() ? std::nullopt : found->second.report;
+}
+
+} // namespace gypsumstep::failover
