--- /dev/null
+++ b/packages/metrics/include/gypsumstep/metrics/metrics.h
@@ -0,0 +1,76 @@
+/// \file
+/// Counters, gauges and latency summaries. All may be used from any thread.
+#pragma once
+
+#include "gypsumstep/base/time.h"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace gypsumstep::metrics {
+
+/// A number that only grows.
+class counter {
+public:
+    void add(std::uint64_t amount = 1) { m_value.fetch_add(amount, std::memory_order_relaxed); }
+
+    [[nodiscard]] std::uint64_t value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> m_value{0};
+};
+
+/// A number that goes up and down.
+class gauge {
+public:
+    void set(double value) { m_value.store(value, std::memory_order_relaxed); }
+    void add(double amount) { m_value.fetch_add(amount, std::memory_order_relaxed); }
+
+    [[nodiscard]] double value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<double> m_value{0.0};
+};
+
+/// The quantiles that a summary reports.
+inline constexpr std::array<double, 4> summary_quantiles{0.5, 0.9, 0.99, 0.999};
+
+/// Quantiles are of the last full window, so that old load does not hide new trouble.
+inline constexpr duration default_summary_window = 10s;
+
+/// What a summary saw. Count and sum are of its whole life.
+struct summary_values {
+    std::uint64_t count{0};
+    duration sum{};
+    /// Empty until a window with observations has passed.
+    std::optional<std::array<duration, summary_quantiles.size()>> quantiles;
+    std::uint64_t window_count{0}; ///< observations that the quantiles are of
+    duration window_max{};
+};
+
+/// Observes durations and estimates their quantiles by Boost.Accumulators.
+///
+/// Exact up to 64 observations in a window; beyond, by the P-square algorithm.
+class summary {
+public:
+    explicit summary(duration window = default_summary_window);
+    ~summary();
+    summary(const summary&) = delete;
+    summary& operator=(const summary&) = delete;
+
+    /// Adds one observation made at \p now; times must not go back by more than a window.
+    void observe(duration value, time_point now);
+
+    /// What was observed until \p now.
+    [[nodiscard]] summary_values values(time_point now) const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace gypsumstep::metrics
