Count silence towards a new primary only since it took office

Cause: a replica that has not yet heard of a new primary reports the silence of the old one; watchers would have voted against the new primary at once.

Ruled out: trusting every server to restart its own count in time.

After: no vote for 1.1 s. Conclusion: the watcher bounds the reported age by its own time since it learnt of the primary.

--- a/packages/failover/include/gypsumstep/failover/detail/group_watcher_impl.h
+++ b/packages/failover/include/gypsumstep/failover/detail/group_watcher_impl.h
@@ -8,8 +8,8 @@
 
 template <failover_rules Rules>
 basic_group_watcher<Rules>::basic_group_watcher(daemon_id self, std::vector<server_id> servers,
-                                                const settings& limits, random_source random)
-    : m_self{self}, m_servers{std::move(servers)}, m_settings{limits}, m_random{std::move(random)},
+                                                const settings& limits, const random_source& random)
+    : m_self{self}, m_servers{std::move(servers)}, m_settings{limits}, m_random{random},
       m_suspicion{m_servers.size(), limits}
 {
 }
--- a/packages/failover/include/gypsumstep/failover/group_watcher.h
+++ b/packages/failover/include/gypsumstep/failover/group_watcher.h
@@ -23,7 +23,7 @@
     /// \param self this run of the daemon
     /// \param servers the whole group
     basic_group_watcher(daemon_id self, std::vector<server_id> servers, const settings& limits,
-                        random_source random);
+                        const random_source& random);
 
     /// Takes in one event and returns what to do.
     [[nodiscard]] actions step(const event& what, time_point now);
--- a/packages/failover/include/gypsumstep/failover/suspicion.h
+++ b/packages/failover/include/gypsumstep/failover/suspicion.h
@@ -56,6 +56,7 @@
 
     std::size_t m_group_size;
     settings m_settings;
+    time_point m_restarted_at; ///< silence before this moment does not count
     std::map<server_id, observation> m_homed;
     std::map<std::pair<server_id, daemon_id>, peer_vote> m_votes;
 };
--- a/packages/failover/include/gypsumstep/failover/types.h
+++ b/packages/failover/include/gypsumstep/failover/types.h
@@ -48,8 +48,8 @@
     log_position last;    ///< last entry of its log
 
     /// Replica: since it sent the last message that a primary whose term is at
-    /// least \c granted answered. Primary: since a majority, itself included,
-    /// last answered it in its term. Measured by the server's own clock.
+    /// least \c granted answered, or since it began to follow it. Primary: since a majority, itself
+    /// included, last answered it in its term. Measured by the server's own clock.
     duration primary_contact_age{0};
 
     friend auto operator<=>(const health_report&, const health_report&) = default;
--- a/packages/failover/src/suspicion.cpp
+++ b/packages/failover/src/suspicion.cpp
@@ -2,6 +2,7 @@
 
 #include "gypsumstep/commit/rules.h"
 
+#include <algorithm>
 #include <set>
 
 namespace gypsumstep::failover {
@@ -56,6 +57,7 @@
 void suspicion_tracker::restart(time_point now)
 {
     m_votes.clear();
+    m_restarted_at = now;
     for (auto& entry : m_homed) {
         entry.second = {now, {}, {}};
     }
@@ -78,7 +80,9 @@
     }
     const bool disputed =
         seen.disputed_since && now - *seen.disputed_since >= m_settings.contact_timeout;
-    return disputed || report.primary_contact_age + silence >= m_settings.contact_timeout;
+    // A server that has not heard of a new primary yet still counts from the old one.
+    const duration age = std::min(report.primary_contact_age + silence, now - m_restarted_at);
+    return disputed || age >= m_settings.contact_timeout;
 }
 
 bool suspicion_tracker::agreed(const primary_view& known, time_point now) const
--- a/packages/failover/tests/test_group_watcher.cpp
+++ b/packages/failover/tests/test_group_watcher.cpp
@@ -51,6 +51,7 @@
     /// Server b has heard nothing from the primary; \p votes says that c has not either.
     actions lose_primary(bool votes = true)
     {
+        pass(1200ms);
         tell(claim_read{platform_status::done, {}});
         actions done =
             tell(health_report{b, server_role::replica, first, term{1}, term{1}, {term{1}, 7}, 5s});
@@ -196,6 +197,13 @@
     CHECK(all<ask_grant>(bench.pass(300ms)).empty());
 }
 
+TEST_CASE("silence before a new primary took office does not count against it")
+{
+    bench bench;
+    bench.tell(health_report{b, server_role::replica, first, term{1}, term{1}, {}, 5s});
+    CHECK(all<send_suspicion>(bench.pass(1100ms)).empty());
+}
+
 TEST_CASE("frozen automation only acts on orders")
 {
     bench bench;
