Add admission: ranked queues, floors by time share, adaptive limits

Cause: the daemon's home needs to decide which request runs on a server, in rank order, with floors kept and nothing over its slots.

--- /dev/null
+++ b/packages/admission/include/gypsumstep/admission/entry_gate.h
@@ -0,0 +1,45 @@
+/// \file
+/// Refuses requests at the entry daemon that a home would refuse.
+#pragma once
+
+#include "gypsumstep/admission/fullness.h"
+#include "gypsumstep/admission/request.h"
+#include "gypsumstep/base/ids.h"
+
+#include <optional>
+#include <unordered_map>
+
+namespace gypsumstep::admission {
+
+/// Remembers the fullness that homes reported with their answers.
+///
+/// A report loses its weight with age: the reported wait shrinks by the time since
+/// then, and an old report is ignored. A few requests are let through regardless,
+/// so that their answers bring new reports.
+class entry_gate {
+public:
+    /// Stores the latest report on a server's queue.
+    void learn(server_id server, const fullness& report, time_point now);
+
+    /// Forgets a server.
+    void forget(server_id server);
+
+    /// A refusal if the request has no chance in time; nothing if it should be sent.
+    /// \param deadline absent: only a full queue or a leaving server refuses
+    [[nodiscard]] std::optional<refused> check(server_id server, rank level,
+                                               std::optional<time_point> deadline, time_point now);
+
+    /// The report on a server, aged to \p now; nothing if there is none that counts.
+    [[nodiscard]] std::optional<fullness> current(server_id server, time_point now) const;
+
+private:
+    struct known {
+        fullness report;
+        time_point received;
+        std::array<time_point, rank_count> next_probe{};
+    };
+
+    std::unordered_map<server_id, known> m_known;
+};
+
+} // namespace gypsumstep::admission
--- /dev/null
+++ b/packages/admission/tests/test_limits.cpp
@@ -0,0 +1,108 @@
+// Tests of the entry gate, retry budget, reconnect ration and concurrency limit.
+#include "gypsumstep/admission/concurrency_limit.h"
+#include "gypsumstep/admission/entry_gate.h"
+#include "gypsumstep/admission/reconnect_ration.h"
+#include "gypsumstep/admission/retry_budget.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumstep;
+using namespace gypsumstep::admission;
+
+namespace {
+
+const time_point start{1s};
+
+// Completions of a saturated server whose service time depends on the limit.
+template <class ServiceTime>
+void complete(concurrency_limit& limit, ServiceTime service_time, int count, time_point& now)
+{
+    for (int i = 0; i < count; ++i) {
+        const std::uint32_t running = limit.limit(0.0);
+        const duration each = service_time(running);
+        now += each / running;
+        limit.completed(each, true, now);
+    }
+}
+
+} // namespace
+
+TEST_CASE("the gate refuses what a full home would refuse, until the report is old")
+{
+    entry_gate gate;
+    const server_id server{3};
+    fullness report;
+    report.ranks[index_of(rank::last)] = {200ms, 10ms, false};
+    gate.learn(server, report, start);
+    const time_point deadline = start + 100ms;
+    CHECK_FALSE(gate.check(server, rank::last, deadline, start)); // a probe
+    const auto refusal = gate.check(server, rank::last, deadline, start + 1ms);
+    REQUIRE(refusal);
+    CHECK(refusal->reason == refusal_reason::deadline);
+    CHECK_FALSE(gate.check(server, rank::urgent, deadline, start + 1ms));
+    CHECK_FALSE(gate.check(server, rank::last, start + 300ms, start + 1ms));
+    CHECK_FALSE(gate.check(server, rank::last, deadline, start + 30ms)); // the next probe
+    CHECK(gate.current(server, start + 150ms)->ranks[2].estimated_wait == 50ms);
+    CHECK_FALSE(gate.current(server, start + 5s));
+
+    report.accepting = false;
+    gate.learn(server, report, start);
+    CHECK(gate.check(server, rank::urgent, deadline, start)->reason ==
+          refusal_reason::not_accepting);
+}
+
+TEST_CASE("retries stay within a share of fresh work")
+{
+    retry_budget budget{{0.1, 5.0}};
+    int retries = 0;
+    for (int i = 0; i < 1'000; ++i) {
+        budget.fresh_request();
+        for (int attempt = 0; attempt < 10; ++attempt) {
+            retries += budget.try_retry() ? 1 : 0;
+        }
+    }
+    CHECK(retries >= 95);
+    CHECK(retries <= 105);
+}
+
+TEST_CASE("few connections are opened at a time, and failures spread the next attempts")
+{
+    random_source random{7};
+    reconnect_ration ration{{2, 50ms, 2s}};
+    CHECK(ration.try_open(start));
+    CHECK(ration.try_open(start));
+    CHECK_FALSE(ration.try_open(start));
+    ration.opened();
+    CHECK(ration.try_open(start));
+    time_point now = start;
+    duration longest{0};
+    for (int i = 0; i < 30; ++i) {
+        ration.failed(random, now);
+        longest = std::max(longest, ration.not_before() - now);
+        CHECK(ration.not_before() - now <= 4s);
+        now = std::max(now, ration.not_before());
+        CHECK(ration.try_open(now));
+    }
+    CHECK(longest > 1s);
+}
+
+TEST_CASE("an overloaded server gets fewer slots, a merely slow one keeps them")
+{
+    const auto fast = [](std::uint32_t) { return duration{10ms}; };
+    const auto overloaded = [](std::uint32_t running) { return running * duration{20ms}; };
+    const auto slow = [](std::uint32_t) { return duration{50ms}; };
+
+    concurrency_limit first{5};
+    time_point now = start;
+    complete(first, fast, 2'000, now);
+    CHECK(first.limit(0.0) == 5);
+    complete(first, overloaded, 2'000, now);
+    CHECK(first.limit(0.0) < 5);
+    complete(first, fast, 20'000, now);
+    CHECK(first.limit(0.0) == 5);
+
+    concurrency_limit second{5};
+    complete(second, fast, 2'000, now);
+    complete(second, slow, 2'000, now);
+    CHECK(second.limit(0.0) == 5);
+}
--- /dev/null
+++ b/packages/admission/tests/test_server_queue.cpp
@@ -0,0 +1,117 @@
+// Tests of the queue in front of one backend server.
+#include "gypsumstep/admission/server_queue.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumstep;
+using namespace gypsumstep::admission;
+
+namespace {
+
+request make(std::uint64_t id, rank level, std::uint32_t caller = 0)
+{
+    return {request_id{id}, level, caller_id{caller}, std::nullopt, binding::new_work};
+}
+
+const time_point start{1s};
+
+} // namespace
+
+TEST_CASE("a free slot admits at once, a full server queues in rank order")
+{
+    server_queue queue{{}, 1};
+    CHECK(queue.offer(make(1, rank::last), start) == decision{admitted{}});
+    CHECK(std::holds_alternative<queued>(queue.offer(make(2, rank::last), start)));
+    CHECK(std::holds_alternative<queued>(queue.offer(make(3, rank::next), start)));
+    CHECK(std::holds_alternative<queued>(queue.offer(make(4, rank::urgent), start)));
+    CHECK(queue.next(start).empty());
+    for (const std::uint64_t expected : {4, 3, 2}) {
+        const std::uint64_t before = expected == 4 ? 1 : expected + 1;
+        CHECK(queue.finished(request_id{before}, 5ms, true, start + 5ms));
+        CHECK(queue.next(start + 5ms) == std::vector{request_id{expected}});
+    }
+}
+
+TEST_CASE("requests of open transactions go before all new work and ignore its limits")
+{
+    queue_settings settings;
+    settings.ranks[index_of(rank::urgent)].queue_limit = 1;
+    server_queue queue{settings, 1};
+    CHECK(queue.offer(make(1, rank::urgent), start) == decision{admitted{}});
+    CHECK(std::holds_alternative<queued>(queue.offer(make(2, rank::urgent), start)));
+    const decision full = queue.offer(make(3, rank::urgent), start);
+    CHECK(std::get<refused>(full).reason == refusal_reason::queue_full);
+    queue.set_accepting(false);
+    request bound = make(4, rank::last);
+    bound.bound = binding::open_transaction;
+    CHECK(std::holds_alternative<queued>(queue.offer(bound, start)));
+    queue.finished(request_id{1}, 1ms, true, start);
+    CHECK(queue.next(start) == std::vector{request_id{4}});
+    const decision leaving = queue.offer(make(5, rank::urgent), start);
+    CHECK(std::get<refused>(leaving).reason == refusal_reason::not_accepting);
+}
+
+TEST_CASE("what cannot meet its deadline is refused at once, or when its time has run out")
+{
+    server_queue queue{{}, 1};
+    CHECK(queue.offer(make(1, rank::urgent), start) == decision{admitted{}});
+    request hopeless = make(2, rank::next);
+    hopeless.deadline = start + 11ms;
+    const decision answer = queue.offer(hopeless, start);
+    REQUIRE(std::holds_alternative<refused>(answer));
+    CHECK(std::get<refused>(answer).reason == refusal_reason::deadline);
+    CHECK(std::get<refused>(answer).retry_after > duration{0});
+
+    request hopeful = make(3, rank::next);
+    hopeful.deadline = start + 100ms;
+    CHECK(std::holds_alternative<queued>(queue.offer(hopeful, start)));
+    CHECK(queue.expired(start + 50ms).empty());
+    CHECK(queue.expired(start + 95ms) == std::vector{request_id{3}});
+    CHECK(queue.expired(start + 95ms).empty());
+    CHECK_FALSE(queue.cancel(request_id{3}, start + 95ms));
+}
+
+TEST_CASE("cancel takes out waiting requests only, drain takes out all of them")
+{
+    server_queue queue{{}, 1};
+    CHECK(queue.offer(make(1, rank::last), start) == decision{admitted{}});
+    for (std::uint64_t id = 2; id <= 4; ++id) {
+        CHECK(std::holds_alternative<queued>(queue.offer(make(id, rank::last), start)));
+    }
+    CHECK_FALSE(queue.cancel(request_id{1}, start));
+    CHECK(queue.cancel(request_id{2}, start));
+    CHECK(queue.drain(start).size() == 2);
+    CHECK(queue.running() == 1);
+}
+
+TEST_CASE("lowered limits hold as soon as running requests have finished")
+{
+    server_queue queue{{}, 3};
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        (void)queue.offer(make(id, rank::next), start);
+    }
+    queue.set_limits(1, start);
+    queue.finished(request_id{1}, 1ms, true, start);
+    queue.finished(request_id{2}, 1ms, true, start);
+    CHECK(queue.next(start).empty());
+    queue.finished(request_id{3}, 1ms, true, start);
+    CHECK(queue.next(start).size() == 1);
+    queue.set_limits(0, start);
+    CHECK(std::holds_alternative<queued>(queue.offer(make(9, rank::urgent), start)));
+    CHECK(queue.next(start).empty());
+}
+
+TEST_CASE("a server that fails fast looks slow and gets one request at a time")
+{
+    server_queue queue{{}, 4};
+    const duration before = expected_response(queue.summary(start), rank::urgent);
+    time_point now = start;
+    for (std::uint64_t id = 1; id <= 60; ++id) {
+        (void)queue.offer(make(id, rank::urgent), now);
+        now += 1ms;
+        queue.finished(request_id{id}, 1ms, false, now);
+    }
+    CHECK(expected_response(queue.summary(now), rank::urgent) > 10 * before);
+    CHECK(queue.limit(now) == 1);
+    CHECK(queue.limit(now + 10s) == 4);
+}
