--- a/packages/pgwire/src/backend.cpp
+++ b/packages/pgwire/src/backend.cpp
@@ -52,13 +52,11 @@
 
 std::string row_description(const std::vector<column>& columns)
 {
-    constexpr std::int16_t variable_size = -1;
-    constexpr std::int32_t no_modifier = -1;
     message_writer writer{'T'};
     writer.add_i16(static_cast<std::int16_t>(columns.size()));
     for (const column& each : columns) {
         writer.add_text(each.name).add_i32(0).add_i16(0).add_i32(each.type);
-        writer.add_i16(variable_size).add_i32(no_modifier).add_i16(each.format);
+        writer.add_i16(each.size).add_i32(each.modifier).add_i16(each.format);
     }
     return std::move(writer).finish();
 }
