Serve one request through the whole path in separate processes

Cause: everything later grows from one statement that travels from a libpq client through a daemon to a replicated group and back. What was found on the way: the stand-in built its data anew at a promotion and so cut off the session that had asked for it; it now applies what it holds in place. The home published its first view before its rings were wired; duties are now made first, wired, then begun. Ruled out: Qt's keyword macros; "slots" is a field of the configuration. Before: no path. Not yet: the mesh (each daemon connects to every server), failover by the daemons, ranks, operator endpoint.

--- a/packages/backend/include/gypsumstep/backend/work.h
+++ b/packages/backend/include/gypsumstep/backend/work.h
@@ -35,9 +35,9 @@
 struct work_answer {
     std::string messages; ///< protocol messages for the caller, without ReadyForQuery
     pgwire::transaction_state state{pgwire::transaction_state::idle};
-    std::string sqlstate;     ///< of the first error; empty if none
+    std::string sqlstate;        ///< of the first error; empty if none
     bool connection_lost{false}; ///< the connection ended before the answer was whole
-    std::string first_value;  ///< first column of the first row, for the daemon's own calls
+    std::string first_value;     ///< first column of the first row, for the daemon's own calls
 
     friend bool operator==(const work_answer&, const work_answer&) = default;
 };
--- a/packages/backend/src/connection.cpp
+++ b/packages/backend/src/connection.cpp
@@ -25,18 +25,19 @@
     : m_on_ready{std::move(on_ready)}, m_on_closed{std::move(on_closed)}
 {
     const std::string port = std::to_string(target.port);
-    const std::array<const char*, 8> keywords{"hostaddr", "port",    "dbname",
-                                              "user",     "sslmode", "gssencmode",
-                                              "application_name", nullptr};
-    const std::array<const char*, 8> values{target.address.c_str(), port.c_str(),
-                                            target.database.c_str(), target.user.c_str(),
-                                            "disable", "disable", "gypsumstepd", nullptr};
+    const std::array<const char*, 8> keywords{
+        "hostaddr", "port", "dbname", "user", "sslmode", "gssencmode", "application_name", nullptr};
+    const std::array<const char*, 8> values{
+        target.address.c_str(), port.c_str(), target.database.c_str(),
+        target.user.c_str(),    "disable",    "disable",
+        "gypsumstepd",          nullptr};
     m_handle.reset(PQconnectStartParams(keywords.data(), values.data(), 0));
     PQsetnonblocking(m_handle.get(), 1);
     // The notice processor would write to stderr.
     PQsetNoticeProcessor(
         m_handle.get(), [](void*, const char*) {}, nullptr);
-    QMetaObject::invokeMethod(this, [this] { watch(false, true); }, Qt::QueuedConnection);
+    QMetaObject::invokeMethod(
+        this, [this] { watch(false, true); }, Qt::QueuedConnection);
 }
 
 connection::~connection() = default;
--- a/packages/backend/src/encode_result.cpp
+++ b/packages/backend/src/encode_result.cpp
@@ -64,7 +64,8 @@
     case PGRES_TUPLES_OK: {
         std::string bytes = with_description ? pgwire::row_description(columns_of(taken)) : "";
         bytes += encode_rows(taken);
-        return bytes + pgwire::command_complete(PQcmdStatus(const_cast<PGresult*>(taken))); // NOLINT
+        return bytes +
+               pgwire::command_complete(PQcmdStatus(const_cast<PGresult*>(taken))); // NOLINT
     }
     case PGRES_COMMAND_OK:
         return pgwire::command_complete(PQcmdStatus(const_cast<PGresult*>(taken))); // NOLINT
--- /dev/null
+++ b/packages/daemon/src/caller_front.cpp
@@ -0,0 +1,110 @@
+#include "caller_front.h"
+
+#include <QHostAddress>
+
+#include <random>
+
+namespace gypsumstep::daemon {
+
+caller_front::caller_front(const settings::daemon_settings& settings,
+                           const fleet::document& document, front_home_channels& channels)
+    : m_settings{settings}, m_channels{channels}, m_random{std::random_device{}()}
+{
+    for (const fleet::group& group : document.groups) {
+        m_groups[group.name].id = group.id;
+        m_group_names[group.id] = group.name;
+    }
+    connect(&m_server, &QTcpServer::newConnection, this, &caller_front::accept);
+}
+
+caller_front::~caller_front() = default;
+
+bool caller_front::listen()
+{
+    return m_server.listen(QHostAddress{QString::fromStdString(m_settings.callers.address)},
+                           m_settings.callers.port);
+}
+
+void caller_front::accept()
+{
+    while (QTcpSocket* socket = m_server.nextPendingConnection()) {
+        if (m_sessions.size() >= m_settings.max_connections) {
+            const std::string bytes = pgwire::error_response(
+                {"FATAL", "53300", "too many connections to this daemon", "", ""});
+            connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+            socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+            socket->disconnectFromHost();
+            continue;
+        }
+        const session_id id{m_next_session++};
+        const auto secret = static_cast<std::int32_t>(m_random.below(1ULL << 31U));
+        m_sessions[id] = std::make_unique<caller_session>(
+            socket, *this, m_settings.max_message_bytes, static_cast<std::int32_t>(id.value()),
+            secret, [this, id] { remove(id); });
+    }
+}
+
+void caller_front::remove(session_id id)
+{
+    // The session is still on the stack of its own signal.
+    QMetaObject::invokeMethod(
+        this,
+        [this, id] {
+            const auto found = m_sessions.find(id);
+            if (found == m_sessions.end()) {
+                return;
+            }
+            std::erase_if(m_waiting, [&found](const auto& each) {
+                return each.second == found->second.get();
+            });
+            m_sessions.erase(found);
+        },
+        Qt::QueuedConnection);
+}
+
+void caller_front::drain()
+{
+    m_channels.views.drain(
+        [this](const routing::group_view& view) { m_groups[m_group_names[view.id]] = view; });
+    m_channels.answers.drain([this](execute_answer answer) { deliver(std::move(answer)); });
+}
+
+void caller_front::deliver(execute_answer answer)
+{
+    const auto found = m_waiting.find(answer.id);
+    if (found == m_waiting.end()) {
+        // The caller left: nobody may inherit its transaction.
+        if (answer.binding != binding_id{}) {
+            release({answer.server, answer.binding});
+        }
+        return;
+    }
+    caller_session* session = found->second;
+    m_waiting.erase(found);
+    session->on_answer(std::move(answer));
+}
+
+const routing::group_view* caller_front::find_group(const std::string& name)
+{
+    const auto found = m_groups.find(name);
+    return found == m_groups.end() ? nullptr : &found->second;
+}
+
+bool caller_front::send(caller_session& from, execute_request request)
+{
+    request.id = request_id{m_next_request++};
+    m_waiting[request.id] = &from;
+    if (!m_channels.requests.push(request)) {
+        m_waiting.erase(request.id);
+        return false;
+    }
+    return true;
+}
+
+void caller_front::release(const release_request& request)
+{
+    // The ring holds one release for each session at most.
+    (void)m_channels.releases.push(request);
+}
+
+} // namespace gypsumstep::daemon
--- /dev/null
+++ b/packages/daemon/src/caller_front.h
@@ -0,0 +1,58 @@
+/// \file
+/// The caller front duty: accepts PostgreSQL clients and routes their statements.
+#pragma once
+
+#include "caller_session.h"
+#include "messages.h"
+
+#include "gypsumstep/base/random.h"
+#include "gypsumstep/fleet/document.h"
+#include "gypsumstep/settings/settings.h"
+
+#include <QObject>
+#include <QTcpServer>
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace gypsumstep::daemon {
+
+/// Owns the callers' sessions.
+class caller_front : public QObject, public session_host {
+public:
+    caller_front(const settings::daemon_settings& settings, const fleet::document& document,
+                 front_home_channels& channels);
+    ~caller_front() override;
+    caller_front(const caller_front&) = delete;
+    caller_front& operator=(const caller_front&) = delete;
+
+    /// Starts to accept callers.
+    /// \return false if the address is taken
+    [[nodiscard]] bool listen();
+
+    /// Takes what waits in the rings.
+    void drain();
+
+    [[nodiscard]] const routing::group_view* find_group(const std::string& name) override;
+    [[nodiscard]] bool send(caller_session& from, execute_request request) override;
+    void release(const release_request& request) override;
+
+private:
+    void accept();
+    void remove(session_id id);
+    void deliver(execute_answer answer);
+
+    settings::daemon_settings m_settings;
+    front_home_channels& m_channels;
+    QTcpServer m_server;
+    random_source m_random;
+    std::map<std::string, routing::group_view> m_groups;
+    std::map<group_id, std::string> m_group_names;
+    std::unordered_map<session_id, std::unique_ptr<caller_session>> m_sessions;
+    std::unordered_map<request_id, caller_session*> m_waiting;
+    std::uint64_t m_next_session{1};
+    std::uint64_t m_next_request{1};
+};
+
+} // namespace gypsumstep::daemon
--- /dev/null
+++ b/packages/daemon/src/caller_session.cpp
@@ -0,0 +1,424 @@
+#include "caller_session.h"
+
+#include "clock.h"
+
+#include "gypsumstep/session/setting_statement.h"
+
+#include <QTimer>
+
+namespace gypsumstep::daemon {
+namespace {
+
+constexpr duration default_deadline = 5s;
+constexpr auto route_retry = std::chrono::milliseconds{20};
+constexpr const char* token_parameter = "gypsumstep.session";
+
+} // namespace
+
+caller_session::caller_session(QTcpSocket* socket, session_host& host,
+                               std::size_t max_message_bytes, std::int32_t process,
+                               std::int32_t secret, std::function<void()> on_closed)
+    : m_socket{socket}, m_host{host}, m_on_closed{std::move(on_closed)},
+      m_splitter{max_message_bytes}, m_process{process}, m_secret{secret}
+{
+    m_socket->setParent(this);
+    m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    // Bounds what a caller can send ahead of its answers.
+    m_socket->setReadBufferSize(static_cast<qint64>(max_message_bytes));
+    connect(m_socket, &QTcpSocket::readyRead, this, &caller_session::read);
+    connect(m_socket, &QTcpSocket::disconnected, this, [this] { m_on_closed(); });
+}
+
+caller_session::~caller_session()
+{
+    m_socket->disconnect(this);
+    if (m_binding != binding_id{}) {
+        m_host.release({m_bound_server, m_binding});
+    }
+}
+
+void caller_session::read()
+{
+    if (m_working) {
+        return;
+    }
+    const QByteArray bytes = m_socket->readAll();
+    m_splitter.feed({bytes.data(), static_cast<std::size_t>(bytes.size())});
+    resume();
+}
+
+void caller_session::resume()
+{
+    while (!m_working && m_socket->state() == QAbstractSocket::ConnectedState) {
+        const auto next = m_splitter.next();
+        if (next.has_error()) {
+            send_fatal("08P01", next.error().message);
+            return;
+        }
+        if (!next.value()) {
+            if (m_socket->bytesAvailable() == 0) {
+                return;
+            }
+            const QByteArray bytes = m_socket->readAll();
+            m_splitter.feed({bytes.data(), static_cast<std::size_t>(bytes.size())});
+            continue;
+        }
+        const auto message = pgwire::decode_frontend(*next.value());
+        if (message.has_error()) {
+            send_fatal("08P01", message.error().message);
+            return;
+        }
+        handle(message.value());
+    }
+}
+
+void caller_session::handle(const pgwire::frontend_message& message)
+{
+    const bool ends_skip = std::holds_alternative<pgwire::sync>(message) ||
+                           std::holds_alternative<pgwire::terminate>(message);
+    if (m_skip_to_sync && !ends_skip) {
+        return;
+    }
+    std::visit([this](const auto& each) { handle_one(each); }, message);
+}
+
+void caller_session::handle_one(const pgwire::startup& message)
+{
+    const auto value_of = [&message](const char* name) {
+        const auto found = message.parameters.find(name);
+        return found == message.parameters.end() ? std::string{} : found->second;
+    };
+    m_group = value_of("database");
+    if (m_host.find_group(m_group) == nullptr) {
+        send_fatal("3D000", "there is no database group \"" + m_group + "\"");
+        return;
+    }
+    for (const auto& [name, value] : session::parse_startup_options(value_of("options"))) {
+        const auto applied = session::apply_setting(m_settings, name, value);
+        if (applied.has_error()) {
+            send_fatal("GS004", applied.error().message);
+            return;
+        }
+    }
+    m_started = true;
+    m_splitter.end_startup_phase();
+    write(pgwire::authentication_ok());
+    for (const auto& [name, value] : {std::pair{"server_version", "15.0"},
+                                      {"server_encoding", "UTF8"},
+                                      {"client_encoding", "UTF8"},
+                                      {"DateStyle", "ISO, MDY"},
+                                      {"integer_datetimes", "on"},
+                                      {"standard_conforming_strings", "on"}}) {
+        write(pgwire::parameter_status(name, value));
+    }
+    write(pgwire::backend_key_data(m_process, m_secret));
+    report_token();
+    send_ready();
+}
+
+void caller_session::handle_one(const pgwire::ssl_request& /*message*/)
+{
+    write(pgwire::ssl_refused());
+}
+
+void caller_session::handle_one(const pgwire::gss_request& /*message*/)
+{
+    write(pgwire::ssl_refused());
+}
+
+void caller_session::handle_one(const pgwire::cancel_request& /*message*/)
+{
+    m_socket->disconnectFromHost();
+}
+
+void caller_session::handle_one(const pgwire::query& message)
+{
+    if (answer_setting(message.sql, true)) {
+        send_ready();
+        return;
+    }
+    backend::work work;
+    work.sql = message.sql;
+    begin_work(std::move(work), false);
+}
+
+void caller_session::handle_one(const pgwire::parse& message)
+{
+    m_statements[message.statement] = {message.sql, message.parameter_types};
+    write(pgwire::parse_complete());
+}
+
+void caller_session::handle_one(const pgwire::bind& message)
+{
+    const auto found = m_statements.find(message.statement);
+    if (found == m_statements.end()) {
+        send_error({"ERROR", "26000", "there is no such prepared statement", "", ""});
+        return;
+    }
+    backend::work work;
+    work.kind = backend::work_kind::extended;
+    work.sql = found->second.sql;
+    work.parameter_types = found->second.parameter_types;
+    work.parameter_formats = message.parameter_formats;
+    work.parameters = message.parameters;
+    work.binary_results = !message.result_formats.empty() && message.result_formats.front() == 1;
+    work.with_description = false;
+    m_portals[message.portal] = {std::move(work), false};
+    write(pgwire::bind_complete());
+}
+
+void caller_session::handle_one(const pgwire::describe& message)
+{
+    if (message.kind == 'P') {
+        // The rows' shape precedes the rows, so that one round trip serves both.
+        m_portals[message.name].work.with_description = true;
+        m_portals[message.name].described = true;
+        return;
+    }
+    const auto found = m_statements.find(message.name);
+    if (found == m_statements.end()) {
+        send_error({"ERROR", "26000", "there is no such prepared statement", "", ""});
+        return;
+    }
+    backend::work work;
+    work.kind = backend::work_kind::describe;
+    work.sql = found->second.sql;
+    work.parameter_types = found->second.parameter_types;
+    begin_work(std::move(work), true);
+}
+
+void caller_session::handle_one(const pgwire::execute& message)
+{
+    const auto found = m_portals.find(message.portal);
+    if (found == m_portals.end()) {
+        send_error({"ERROR", "34000", "there is no such portal", "", ""});
+        return;
+    }
+    if (answer_setting(found->second.work.sql, found->second.described)) {
+        return;
+    }
+    begin_work(found->second.work, true);
+}
+
+void caller_session::handle_one(const pgwire::close& message)
+{
+    if (message.kind == 'S') {
+        m_statements.erase(message.name);
+    }
+    else {
+        m_portals.erase(message.name);
+    }
+    write(pgwire::close_complete());
+}
+
+void caller_session::handle_one(const pgwire::sync& /*message*/)
+{
+    m_skip_to_sync = false;
+    send_ready();
+}
+
+void caller_session::handle_one(const pgwire::flush& /*message*/)
+{
+    m_socket->flush();
+}
+
+void caller_session::handle_one(const pgwire::terminate& /*message*/)
+{
+    m_socket->disconnectFromHost();
+}
+
+void caller_session::handle_one(const pgwire::unsupported& message)
+{
+    send_fatal("08P01", std::string{"unsupported message type '"} + message.type + "'");
+}
+
+bool caller_session::answer_setting(const std::string& sql, bool with_description)
+{
+    const auto statement = session::parse_setting_statement(sql);
+    if (!statement) {
+        return false;
+    }
+    if (statement->what == session::setting_statement::action::show) {
+        const auto shown = session::show_setting(m_settings, statement->name);
+        if (shown.has_error()) {
+            send_error(make_refusal(refusal::invalid_setting, shown.error().message));
+            return true;
+        }
+        const std::string name = std::string{session::setting_prefix} + statement->name;
+        write((with_description ? pgwire::row_description({{name}}) : "") +
+              pgwire::data_row({shown.value()}) + pgwire::command_complete("SHOW"));
+        return true;
+    }
+    const auto applied = session::apply_setting(m_settings, statement->name, statement->value);
+    if (applied.has_error()) {
+        send_error(make_refusal(refusal::invalid_setting, applied.error().message));
+        return true;
+    }
+    write((with_description && m_extended ? pgwire::no_data() : "") +
+          pgwire::command_complete("SET"));
+    report_token();
+    return true;
+}
+
+void caller_session::begin_work(backend::work work, bool extended)
+{
+    m_working = true;
+    m_extended = extended;
+    m_was_behind = false;
+    m_work = std::move(work);
+    m_route = {m_settings.declared, m_settings.seen.seen(m_group), {}};
+    m_deadline = steady_now() + m_settings.declared.deadline.value_or(default_deadline);
+    m_last_reason.clear();
+    route();
+}
+
+void caller_session::route()
+{
+    const routing::group_view* group = m_host.find_group(m_group);
+    server_id target = m_bound_server;
+    if (m_binding == binding_id{}) {
+        const auto chosen = group == nullptr
+                                ? routing::route{routing::route_refusal::no_primary}
+                                : routing::choose_server(*group, m_route, steady_now());
+        if (const auto* refused = std::get_if<routing::route_refusal>(&chosen)) {
+            on_route_refusal(*refused);
+            return;
+        }
+        target = std::get<routing::chosen_server>(chosen).id;
+    }
+    execute_request request;
+    request.server = target;
+    request.binding = m_binding;
+    request.priority = m_settings.declared.priority;
+    request.is_write = m_settings.declared.mode == session::access_mode::write;
+    request.request_key = m_settings.declared.request_key;
+    request.at_least = m_route.seen;
+    request.deadline = m_deadline;
+    request.work = m_work;
+    m_sent = m_host.send(*this, std::move(request));
+    if (!m_sent) {
+        m_last_reason = "this daemon's ring to the home is full";
+        route_later();
+    }
+}
+
+void caller_session::on_route_refusal(routing::route_refusal refused)
+{
+    if (m_last_reason.empty()) {
+        m_last_reason = refused == routing::route_refusal::no_primary
+                            ? "the primary is unknown or out of reach"
+                            : "no server within reach is fresh enough";
+    }
+    m_route.tried.clear();
+    route_later();
+}
+
+void caller_session::route_later()
+{
+    if (steady_now() + route_retry >= m_deadline) {
+        fail_work(m_was_behind ? refusal::position_ahead : refusal::not_run, m_last_reason);
+        return;
+    }
+    QTimer::singleShot(route_retry, this, [this] {
+        if (m_working && !m_sent) {
+            route();
+        }
+    });
+}
+
+void caller_session::on_answer(execute_answer answer)
+{
+    m_sent = false;
+    const binding_id before = m_binding;
+    m_binding = answer.binding;
+    m_bound_server = answer.server;
+    m_last_reason = answer.reason;
+    switch (answer.outcome) {
+    case execute_outcome::answered:
+        m_state = answer.answer.state;
+        if (answer.observed) {
+            advance_token(*answer.observed);
+        }
+        finish_work(answer.answer.messages, !answer.answer.sqlstate.empty());
+        return;
+    case execute_outcome::unknown:
+        m_state = pgwire::transaction_state::idle;
+        fail_work(refusal::outcome_unknown, answer.reason);
+        return;
+    case execute_outcome::already_run:
+        if (answer.observed) {
+            advance_token(*answer.observed);
+        }
+        fail_work(refusal::already_run, answer.reason);
+        return;
+    case execute_outcome::behind:
+        m_was_behind = true;
+        break;
+    case execute_outcome::not_run:
+        break;
+    }
+    if (before != binding_id{}) {
+        m_state = pgwire::transaction_state::idle;
+        fail_work(refusal::not_run, answer.reason);
+        return;
+    }
+    m_route.tried.push_back(answer.server);
+    route();
+}
+
+void caller_session::finish_work(const std::string& messages, bool failed)
+{
+    m_working = false;
+    write(messages);
+    if (failed && m_extended) {
+        m_skip_to_sync = true;
+    }
+    report_token();
+    if (!m_extended) {
+        send_ready();
+    }
+    resume();
+}
+
+void caller_session::fail_work(refusal kind, const std::string& reason)
+{
+    finish_work(pgwire::error_response(make_refusal(kind, reason)), true);
+}
+
+void caller_session::advance_token(log_position position)
+{
+    m_settings.seen.advance(m_group, position);
+}
+
+void caller_session::report_token()
+{
+    const std::string text = m_settings.seen.text();
+    if (!text.empty()) {
+        write(pgwire::parameter_status(token_parameter, text));
+    }
+}
+
+void caller_session::send_error(const pgwire::error_fields& fields)
+{
+    write(pgwire::error_response(fields));
+    m_skip_to_sync = true;
+}
+
+void caller_session::send_fatal(const char* sqlstate, const std::string& message)
+{
+    write(pgwire::error_response({"FATAL", sqlstate, message, "", ""}));
+    m_socket->disconnectFromHost();
+}
+
+void caller_session::send_ready()
+{
+    m_skip_to_sync = false;
+    write(pgwire::ready_for_query(m_state));
+}
+
+void caller_session::write(const std::string& bytes)
+{
+    m_socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+}
+
+} // namespace gypsumstep::daemon
--- /dev/null
+++ b/packages/daemon/src/caller_session.h
@@ -0,0 +1,127 @@
+/// \file
+/// One caller's connection: protocol, settings, token and the statement in progress.
+#pragma once
+
+#include "messages.h"
+#include "refusal.h"
+
+#include "gypsumstep/pgwire/backend.h"
+#include "gypsumstep/pgwire/frontend.h"
+#include "gypsumstep/session/statement_class.h"
+
+#include <QObject>
+#include <QTcpSocket>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace gypsumstep::daemon {
+
+class caller_session;
+
+/// What a session needs from the front that accepted it.
+class session_host {
+public:
+    virtual ~session_host() = default;
+    session_host() = default;
+    session_host(const session_host&) = delete;
+    session_host& operator=(const session_host&) = delete;
+
+    /// The newest view of a group; nullptr if there is no such group.
+    [[nodiscard]] virtual const routing::group_view* find_group(const std::string& name) = 0;
+
+    /// Sends a request; its answer reaches the session's on_answer().
+    /// \return false if the home cannot take it now; it was not sent
+    [[nodiscard]] virtual bool send(caller_session& from, execute_request request) = 0;
+
+    /// Ends a binding whose session is gone.
+    virtual void release(const release_request& request) = 0;
+};
+
+/// Speaks PostgreSQL protocol 3.0 with one caller, one statement at a time.
+class caller_session : public QObject {
+public:
+    /// Takes ownership of \p socket.
+    /// \param process and \p secret name this session in a CancelRequest
+    caller_session(QTcpSocket* socket, session_host& host, std::size_t max_message_bytes,
+                   std::int32_t process, std::int32_t secret, std::function<void()> on_closed);
+    ~caller_session() override;
+    caller_session(const caller_session&) = delete;
+    caller_session& operator=(const caller_session&) = delete;
+
+    /// Takes the answer to the request that this session sent.
+    void on_answer(execute_answer answer);
+
+private:
+    struct prepared_statement {
+        std::string sql;
+        std::vector<std::int32_t> parameter_types;
+    };
+    struct portal {
+        backend::work work;
+        bool described{false};
+    };
+
+    void read();
+    void resume();
+    void handle(const pgwire::frontend_message& message);
+    void handle_one(const pgwire::startup& message);
+    void handle_one(const pgwire::ssl_request& message);
+    void handle_one(const pgwire::gss_request& message);
+    void handle_one(const pgwire::cancel_request& message);
+    void handle_one(const pgwire::query& message);
+    void handle_one(const pgwire::parse& message);
+    void handle_one(const pgwire::bind& message);
+    void handle_one(const pgwire::describe& message);
+    void handle_one(const pgwire::execute& message);
+    void handle_one(const pgwire::close& message);
+    void handle_one(const pgwire::sync& message);
+    void handle_one(const pgwire::flush& message);
+    void handle_one(const pgwire::terminate& message);
+    void handle_one(const pgwire::unsupported& message);
+
+    bool answer_setting(const std::string& sql, bool with_description);
+    void begin_work(backend::work work, bool extended);
+    void route();
+    void route_later();
+    void on_route_refusal(routing::route_refusal refusal);
+    void finish_work(const std::string& messages, bool failed);
+    void fail_work(refusal kind, const std::string& reason);
+    void advance_token(log_position position);
+    void report_token();
+    void send_error(const pgwire::error_fields& fields);
+    void send_fatal(const char* sqlstate, const std::string& message);
+    void send_ready();
+    void write(const std::string& bytes);
+
+    QTcpSocket* m_socket;
+    session_host& m_host;
+    std::function<void()> m_on_closed;
+    pgwire::message_splitter m_splitter;
+    std::deque<pgwire::frontend_message> m_inbox;
+    session::session_settings m_settings;
+    std::string m_group;
+    std::map<std::string, prepared_statement> m_statements;
+    std::map<std::string, portal> m_portals;
+    std::int32_t m_process;
+    std::int32_t m_secret;
+    pgwire::transaction_state m_state{pgwire::transaction_state::idle};
+    binding_id m_binding;
+    server_id m_bound_server;
+    bool m_started{false};
+    bool m_skip_to_sync{false};
+
+    // The statement in progress.
+    bool m_working{false};
+    bool m_extended{false};
+    bool m_sent{false};
+    bool m_was_behind{false};
+    backend::work m_work;
+    routing::route_request m_route;
+    time_point m_deadline{};
+    std::string m_last_reason;
+};
+
+} // namespace gypsumstep::daemon
--- /dev/null
+++ b/packages/daemon/src/home.cpp
@@ -0,0 +1,42 @@
+#include "home.h"
+
+namespace gypsumstep::daemon {
+
+home::home(fleet::document document, front_home_channels& channels)
+    : m_document{std::move(document)}, m_channels{channels}
+{
+    for (const fleet::server& server : m_document.servers) {
+        m_pools[server.id] = std::make_unique<server_pool>(
+            server, m_document.groups[server.group.value()].name,
+            [this](const execute_answer& answer) { (void)m_channels.answers.push(answer); });
+    }
+}
+
+void home::begin()
+{
+    for (const fleet::group& group : m_document.groups) {
+        m_watches.push_back(std::make_unique<group_watch>(
+            m_document, group.id, [this](const routing::group_view& view) { on_view(view); }));
+    }
+}
+
+void home::on_view(const routing::group_view& view)
+{
+    for (const routing::server_view& server : view.servers) {
+        m_pools[server.id]->set_known_term(view.current_term);
+    }
+    // A view that does not fit is replaced by the next one.
+    (void)m_channels.views.push(view);
+}
+
+void home::drain()
+{
+    m_channels.requests.drain([this](execute_request request) {
+        m_pools.at(request.server)->execute(std::move(request));
+    });
+    m_channels.releases.drain([this](const release_request& request) {
+        m_pools.at(request.server)->release(request.binding);
+    });
+}
+
+} // namespace gypsumstep::daemon
--- /dev/null
+++ b/packages/daemon/src/home.h
@@ -0,0 +1,38 @@
+/// \file
+/// The home duty: connections to backend servers and the watch over their groups.
+#pragma once
+
+#include "group_watch.h"
+#include "messages.h"
+#include "server_pool.h"
+
+#include "gypsumstep/fleet/document.h"
+
+#include <QObject>
+
+#include <map>
+#include <memory>
+
+namespace gypsumstep::daemon {
+
+/// Serves execute requests for the servers that this daemon is a home of.
+class home : public QObject {
+public:
+    home(fleet::document document, front_home_channels& channels);
+
+    /// Starts to watch the groups; the rings must be wired before.
+    void begin();
+
+    /// Takes what waits in the rings.
+    void drain();
+
+private:
+    void on_view(const routing::group_view& view);
+
+    fleet::document m_document;
+    front_home_channels& m_channels;
+    std::map<server_id, std::unique_ptr<server_pool>> m_pools;
+    std::vector<std::unique_ptr<group_watch>> m_watches;
+};
+
+} // namespace gypsumstep::daemon
--- /dev/null
+++ b/packages/daemon/src/messages.h
@@ -0,0 +1,76 @@
+/// \file
+/// Values that cross the rings between the duties of a daemon.
+#pragma once
+
+#include "gypsumstep/backend/work.h"
+#include "gypsumstep/base/ids.h"
+#include "gypsumstep/base/position.h"
+#include "gypsumstep/base/rank.h"
+#include "gypsumstep/base/time.h"
+#include "gypsumstep/routing/choose_server.h"
+#include "gypsumstep/runtime/channel.h"
+
+#include <optional>
+#include <string>
+
+namespace gypsumstep::daemon {
+
+/// A connection that a home keeps for one session; 0 means none.
+using binding_id = strong_value<struct binding_tag>;
+
+/// Runs one statement on one backend server.
+struct execute_request {
+    request_id id;
+    server_id server;
+    binding_id binding; ///< connection of the session's open transaction
+    rank priority{rank::last};
+    bool is_write{true};
+    std::string request_key;
+    std::optional<log_position> at_least; ///< a read must see this position
+    time_point deadline{};
+    backend::work work;
+};
+
+/// Ends a session's binding; its transaction is rolled back.
+struct release_request {
+    server_id server;
+    binding_id binding;
+};
+
+/// What happened to a request.
+enum class execute_outcome {
+    answered,    ///< the server answered; its messages are whole
+    not_run,     ///< it never reached the server
+    behind,      ///< the server has not applied the wanted position; nothing was shown
+    unknown,     ///< it was sent and may have run
+    already_run, ///< its request key is already in the group
+};
+
+/// Answer to an execute_request.
+struct execute_answer {
+    request_id id;
+    server_id server;
+    execute_outcome outcome{execute_outcome::not_run};
+    backend::work_answer answer;
+    binding_id binding; ///< set while a transaction is open
+    std::optional<log_position> observed;
+    std::string reason; ///< why it was not answered, for people
+};
+
+using request_channel = runtime::channel<execute_request>;
+using release_channel = runtime::channel<release_request>;
+using answer_channel = runtime::channel<execute_answer>;
+using view_channel = runtime::channel<routing::group_view>;
+
+/// The rings between the caller front and the home.
+struct front_home_channels {
+    static constexpr std::size_t requests_in_ring = 16'384;
+    static constexpr std::size_t views_in_ring = 4'096;
+
+    request_channel requests{requests_in_ring};
+    release_channel releases{requests_in_ring};
+    answer_channel answers{requests_in_ring};
+    view_channel views{views_in_ring};
+};
+
+} // namespace gypsumstep::daemon
--- /dev/null
+++ b/packages/daemon/src/server_pool.h
@@ -0,0 +1,82 @@
+/// \file
+/// Connections of a home to one backend server.
+#pragma once
+
+#include "messages.h"
+
+#include "gypsumstep/backend/connection.h"
+#include "gypsumstep/fleet/document.h"
+
+#include <QTimer>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace gypsumstep::daemon {
+
+/// Runs requests on a bounded set of connections, one transaction to a connection.
+///
+/// An answer that depends on log entries is held until a majority of the group's
+/// servers hold them, so that a failover cannot take back what a caller has seen.
+class server_pool : public QObject {
+public:
+    using answer_handler = std::function<void(execute_answer)>;
+
+    /// \param server address and limits
+    /// \param database name of the server's group
+    server_pool(const fleet::server& server, const std::string& database, answer_handler on_answer);
+
+    /// Runs or queues a request; the handler is called exactly once for it.
+    void execute(execute_request request);
+
+    /// Rolls back and closes the binding's connection.
+    void release(binding_id binding);
+
+    /// Sets the group's term as it is known here; commits of lower terms are not confirmed.
+    void set_known_term(term known) { m_known_term = known; }
+
+private:
+    /// A connection and the request that it serves.
+    struct slot {
+        std::unique_ptr<backend::connection> connection;
+        std::optional<execute_request> request;
+        execute_answer answer;
+        binding_id binding;
+        log_position commit_before;
+        log_position needed; ///< a majority must hold this before the answer is passed on
+        bool waits_for_majority{false};
+        bool commit_sent{false};
+    };
+
+    void dispatch();
+    void open_connection();
+    void start(slot& target, execute_request request);
+    void start_keyed(slot& target);
+    void run_work(slot& target);
+    void on_work_answer(slot& target, backend::work_answer answer);
+    void finish_keyed(slot& target);
+    void confirm(slot& target);
+    void check_majority(slot& target);
+    void finish(slot& target);
+    void lose(slot& target, const std::string& reason);
+    void expire();
+    void remove_closed();
+    void refuse(const execute_request& request, const std::string& reason);
+    [[nodiscard]] slot* find_idle();
+    [[nodiscard]] slot* find_binding(binding_id binding);
+
+    fleet::server m_server;
+    std::string m_database;
+    answer_handler m_on_answer;
+    std::vector<std::unique_ptr<slot>> m_slots;
+    std::deque<execute_request> m_queue;
+    QTimer m_expiry;
+    std::uint64_t m_next_binding{1};
+    term m_known_term;
+    bool m_connecting{false};
+};
+
+} // namespace gypsumstep::daemon
--- a/packages/pgwire/include/gypsumstep/pgwire/backend.h
+++ b/packages/pgwire/include/gypsumstep/pgwire/backend.h
@@ -32,9 +32,9 @@
 struct column {
     std::string name;
     std::int32_t type{text_type};
-    std::int16_t format{0};      ///< 0 text, 1 binary
-    std::int16_t size{-1};       ///< bytes of the type; negative if it varies
-    std::int32_t modifier{-1};   ///< type modifier; -1 for none
+    std::int16_t format{0};    ///< 0 text, 1 binary
+    std::int16_t size{-1};     ///< bytes of the type; negative if it varies
+    std::int32_t modifier{-1}; ///< type modifier; -1 for none
 
     static constexpr std::int32_t text_type = 25;
 };
--- a/packages/routing/include/gypsumstep/routing/choose_server.h
+++ b/packages/routing/include/gypsumstep/routing/choose_server.h
@@ -13,6 +13,9 @@
 
 namespace gypsumstep::routing {
 
+/// A moment before every other: the age of the data is unknown.
+inline constexpr time_point never{duration{-(1LL << 60)}};
+
 /// What a daemon knows of one backend server.
 struct server_view {
     server_id id;
--- a/testing/standins/backend/client_connection.cpp
+++ b/testing/standins/backend/client_connection.cpp
@@ -15,10 +15,10 @@
 {
     const auto begin = sql.find_first_not_of(" \t\r\n");
     return begin != std::string_view::npos &&
-           std::equal(word.begin(), word.end(), sql.begin() + static_cast<std::ptrdiff_t>(begin),
-                      sql.begin() + static_cast<std::ptrdiff_t>(
-                                        std::min(sql.size(), begin + word.size())),
-                      [](char a, char b) { return a == std::toupper(static_cast<unsigned char>(b)); });
+           std::equal(
+               word.begin(), word.end(), sql.begin() + static_cast<std::ptrdiff_t>(begin),
+               sql.begin() + static_cast<std::ptrdiff_t>(std::min(sql.size(), begin + word.size())),
+               [](char a, char b) { return a == std::toupper(static_cast<unsigned char>(b)); });
 }
 
 } // namespace
@@ -40,7 +40,8 @@
             set_parameter("group_held", to_string(m_parts.state.held()));
         }
     });
-    connect(&m_parts.state, &replica::data_replaced, this, &client_connection::end_session);
+    connect(&m_parts.state, &replica::data_replaced, this, &client_connection::end_session,
+            Qt::QueuedConnection);
 }
 
 void client_connection::end_session()
@@ -201,10 +202,12 @@
             !m_session->has_uncommitted_changes());
 }
 
-statement_result client_connection::run_statement(std::string_view sql, const parameter_list& values)
+statement_result client_connection::run_statement(std::string_view sql,
+                                                  const parameter_list& values)
 {
     statement_result result;
-    if (m_failed_transaction && !starts_with_word(sql, "ROLLBACK") && !starts_with_word(sql, "COMMIT")) {
+    if (m_failed_transaction && !starts_with_word(sql, "ROLLBACK") &&
+        !starts_with_word(sql, "COMMIT")) {
         result.status = statement_status::failed;
         result.message = "current transaction is aborted";
         result.consumed = sql.size();
@@ -398,6 +401,9 @@
 
 void client_connection::write(const std::string& bytes)
 {
+    if (m_socket->state() != QAbstractSocket::ConnectedState) {
+        return;
+    }
     m_socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
 }
 
--- a/testing/standins/backend/client_connection.h
+++ b/testing/standins/backend/client_connection.h
@@ -63,7 +63,8 @@
     void resume();
     bool run_control(const std::string& sql);
     [[nodiscard]] bool writes_allowed() const;
-    [[nodiscard]] statement_result run_statement(std::string_view sql, const parameter_list& values);
+    [[nodiscard]] statement_result run_statement(std::string_view sql,
+                                                 const parameter_list& values);
     void keep_committed();
     void send_result(const statement_result& result, bool with_description);
     void send_error(const std::string& sqlstate, const std::string& message);
--- a/testing/standins/backend/database.cpp
+++ b/testing/standins/backend/database.cpp
@@ -58,7 +58,8 @@
             continue;
         }
         bytes = reinterpret_cast<const char*>(sqlite3_column_text(statement, i)); // NOLINT
-        row.emplace_back(std::string{bytes, static_cast<std::size_t>(sqlite3_column_bytes(statement, i))});
+        row.emplace_back(
+            std::string{bytes, static_cast<std::size_t>(sqlite3_column_bytes(statement, i))});
     }
     return row;
 }
@@ -88,13 +89,13 @@
     statement_result result;
     sqlite3_stmt* raw = nullptr;
     const char* tail = nullptr;
-    const int prepared = sqlite3_prepare_v2(m_handle, sql.data(), static_cast<int>(sql.size()),
-                                            &raw, &tail);
+    const int prepared =
+        sqlite3_prepare_v2(m_handle, sql.data(), static_cast<int>(sql.size()), &raw, &tail);
     const statement_handle statement{raw};
     result.consumed = tail == nullptr ? sql.size() : static_cast<std::size_t>(tail - sql.data());
     if (prepared != SQLITE_OK) {
-        result.status = prepared == SQLITE_LOCKED ? statement_status::locked
-                                                  : statement_status::failed;
+        result.status =
+            prepared == SQLITE_LOCKED ? statement_status::locked : statement_status::failed;
         result.message = sqlite3_errmsg(m_handle);
         return result;
     }
--- a/testing/standins/backend/main.cpp
+++ b/testing/standins/backend/main.cpp
@@ -46,8 +46,8 @@
     {
         while (QTcpSocket* socket = m_server.nextPendingConnection()) {
             if (m_open >= m_limit) {
-                const auto bytes = pgwire::error_response(
-                    {"FATAL", "53300", "too many connections", "", ""});
+                const auto bytes =
+                    pgwire::error_response({"FATAL", "53300", "too many connections", "", ""});
                 socket->write(QByteArray::fromStdString(bytes));
                 socket->disconnectFromHost();
                 connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
@@ -84,7 +84,7 @@
     standin::replication_feed feed{state};
     standin::replication_puller puller{state};
     standin::slot_pool pool{static_cast<std::uint32_t>(absl::GetFlag(FLAGS_slots)),
-                             std::chrono::milliseconds{absl::GetFlag(FLAGS_service_ms)}};
+                            std::chrono::milliseconds{absl::GetFlag(FLAGS_service_ms)}};
     acceptor server{{state, puller, pool},
                     absl::GetFlag(FLAGS_connections),
                     std::chrono::milliseconds{absl::GetFlag(FLAGS_connect_ms)}};
--- a/testing/standins/backend/replica.cpp
+++ b/testing/standins/backend/replica.cpp
@@ -85,7 +85,7 @@
     if (is_primary() && m_term == wanted) {
         return true;
     }
-    rebuild(m_log.last().index);
+    apply_all();
     m_term = wanted;
     m_primary = true;
     m_replica_positions.clear();
@@ -198,6 +198,20 @@
     }
 }
 
+void replica::apply_all()
+{
+    for (std::uint64_t index = m_applied + 1; index <= m_log.last().index; ++index) {
+        for (const std::string& sql : m_log.at(index).statements) {
+            if (m_writer->run(sql, {}, true).status == statement_status::locked) {
+                // A reader's open transaction is in the way; a new primary does not wait for it.
+                rebuild(m_log.last().index);
+                return;
+            }
+        }
+        m_applied = index;
+    }
+}
+
 void replica::primary_was_at(log_position position, time_point asked_at)
 {
     if (applied() >= position) {
@@ -212,8 +226,8 @@
 void replica::rebuild(std::uint64_t index)
 {
     ++m_generation;
-    m_database_name = m_options.name + "-" + std::to_string(::getpid()) + "-" +
-                      std::to_string(m_generation);
+    m_database_name =
+        m_options.name + "-" + std::to_string(::getpid()) + "-" + std::to_string(m_generation);
     m_writer = std::make_unique<database_session>(m_database_name);
     for (std::uint64_t i = 1; i <= index; ++i) {
         for (const std::string& sql : m_log.at(i).statements) {
--- a/testing/standins/backend/replica.h
+++ b/testing/standins/backend/replica.h
@@ -79,6 +79,7 @@
     void update_held();
     void schedule_apply(std::uint64_t index);
     void apply_ready();
+    void apply_all();
     void rebuild(std::uint64_t index);
     void fence();
 
--- a/testing/standins/backend/replication.cpp
+++ b/testing/standins/backend/replication.cpp
@@ -83,7 +83,8 @@
         socket->disconnectFromHost();
         return;
     }
-    const auto position = parse_position(request.value("last", std::string{})).value_or(log_position{});
+    const auto position =
+        parse_position(request.value("last", std::string{})).value_or(log_position{});
     if (!m_replica.log().contains(position)) {
         socket->write(to_line({{"back_to", position.index - 1}}));
         return;
@@ -98,10 +99,11 @@
 
 void replication_feed::send_entries(QTcpSocket* socket, std::uint64_t index)
 {
-    socket->write(to_line({{"term", m_replica.current_term().value()},
-                           {"previous", to_string(m_replica.log().position_at(index))},
-                           {"entries", to_json(m_replica.log().after(index, max_entries_per_answer))},
-                           {"primary_last", to_string(m_replica.last())}}));
+    socket->write(
+        to_line({{"term", m_replica.current_term().value()},
+                 {"previous", to_string(m_replica.log().position_at(index))},
+                 {"entries", to_json(m_replica.log().after(index, max_entries_per_answer))},
+                 {"primary_last", to_string(m_replica.last())}}));
 }
 
 void replication_feed::answer_waiting(bool all)
