--- a/packages/logging/tests/test_logging.cpp
+++ b/packages/logging/tests/test_logging.cpp
@@ -91,15 +91,16 @@
 
 TEST_CASE("lines of many threads stay whole")
 {
-    constexpr int thread_count = 4;
-    constexpr int lines_each = 200;
+    constexpr std::uint64_t thread_count = 4;
+    constexpr std::uint64_t lines_each = 200;
     const captured_log log;
     std::vector<std::thread> threads;
-    for (int i = 0; i < thread_count; ++i) {
+    threads.reserve(thread_count);
+    for (std::uint64_t i = 0; i < thread_count; ++i) {
         threads.emplace_back([i] {
             const logging::logger writer{"writer-" + std::to_string(i)};
-            for (int line = 0; line < lines_each; ++line) {
-                writer.info("line", {{"number", std::int64_t{line}}});
+            for (std::uint64_t line = 0; line < lines_each; ++line) {
+                writer.info("line", {{"number", line}});
             }
         });
     }
--- a/packages/metrics/tests/test_metrics.cpp
+++ b/packages/metrics/tests/test_metrics.cpp
@@ -92,15 +92,16 @@
 
 TEST_CASE("no observation of many threads is lost")
 {
-    constexpr int thread_count = 4;
-    constexpr int observations_each = 5'000;
+    constexpr std::uint64_t thread_count = 4;
+    constexpr std::uint64_t observations_each = 5'000;
     registry all;
     std::vector<std::thread> threads;
-    for (int i = 0; i < thread_count; ++i) {
+    threads.reserve(thread_count);
+    for (std::uint64_t i = 0; i < thread_count; ++i) {
         threads.emplace_back([&all] {
             auto& requests = all.make_counter("requests_total", "Requests.");
             auto& latency = all.make_summary("latency_seconds", "Latency.");
-            for (int one = 0; one < observations_each; ++one) {
+            for (std::uint64_t one = 0; one < observations_each; ++one) {
                 requests.add();
                 latency.observe(1ms, start + std::chrono::milliseconds{one});
             }
