--- /dev/null
+++ b/packages/config/tests/test_records.cpp
@@ -0,0 +1,67 @@
+// Tests of the stored forms and of applying patches.
+#include "gypsumstep/config/records.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumstep;
+using config::json;
+
+namespace {
+
+config::patch make_patch(config::patch_kind kind, json content)
+{
+    return {"p-1", config_version{4}, kind, std::move(content), "ane", "night shift", 17};
+}
+
+} // namespace
+
+TEST_CASE("head and change survive their stored forms")
+{
+    const config::change_record change{config_version{5},
+                                       make_patch(config::patch_kind::operations, json::array())};
+    CHECK(config::parse_change(config::to_json(change)).value() == change);
+    const auto head = config::make_head(change);
+    CHECK(config::parse_head(config::to_json(head)).value() == head);
+    CHECK(head.object == "config/versions/5-p-1");
+    CHECK_FALSE(config::parse_head(json{{"version", -1}}));
+    CHECK_FALSE(config::parse_change(json::array()));
+}
+
+TEST_CASE("patches of both kinds apply, and one that does not is an error")
+{
+    const json document{{"a", 1}, {"b", {1, 2}}};
+    const auto merged = config::apply_patch(
+        document, make_patch(config::patch_kind::merge, {{"a", nullptr}, {"c", 3}}));
+    CHECK(merged.value() == json{{"b", {1, 2}}, {"c", 3}});
+
+    const json append = json::parse(R"([{"op":"add","path":"/b/-","value":3}])");
+    CHECK(config::apply_patch(document, make_patch(config::patch_kind::operations, append))
+              .value()["b"] == json{1, 2, 3});
+
+    for (const auto* text :
+         {R"([{"op":"remove","path":"/none"}])", R"([{"op":"test","path":"/a","value":2}])",
+          R"([{"op":"fly"}])", R"({"a":1})", R"([{"op":"add","path":"b","value":1}])"}) {
+        INFO(text);
+        const auto result = config::apply_patch(
+            document, make_patch(config::patch_kind::operations, json::parse(text)));
+        CHECK(result.error().code == error_code::invalid_argument);
+    }
+}
+
+TEST_CASE("a rollback restores an old document as a new version")
+{
+    const json old_document{{"a", 1}, {"b", {1, 2}}};
+    const json current{{"a", 2}, {"c", json::object()}};
+    const auto order =
+        config::make_rollback(make_patch(config::patch_kind::merge, {}), current, old_document);
+    CHECK(config::apply_patch(current, order).value() == old_document);
+    CHECK(order.base == config_version{4});
+}
+
+TEST_CASE("patch ids are short and plain")
+{
+    CHECK(config::is_patch_id("2026-12-04_a"));
+    for (const std::string& text : {std::string{}, std::string{"a/b"}, std::string(65, 'a')}) {
+        CHECK_FALSE(config::is_patch_id(text));
+    }
+}
