Send news only where digests differ, confirm a failed probe, cap bursts

Found: rumours rode on every probe although nearly all peers had them; one lost datagram in each direction was enough for a suspicion; in small fleets the pushes used up a rumour's transmissions; the budget allowed bursts of 4 s.

Ruled out: pacing pushes one by one, since it delays the spread.

--- a/packages/membership/include/gypsumstep/membership/gossip_member.h
+++ b/packages/membership/include/gypsumstep/membership/gossip_member.h
@@ -3,9 +3,11 @@
 ///
 /// A SWIM protocol: members probe each other, suspect whom they cannot reach,
 /// and spread records and payloads on the probes. It differs from the original
-/// in three ways. Only members of the same failure domain suspect each other;
+/// in four ways. Only members of the same failure domain suspect each other;
 /// probes into other domains tell whether the domain is cut off. A new rumour
-/// is pushed to a few members at once. Probes wait while the byte budget is spent.
+/// is pushed to a few members at once. Probes carry a digest of what the sender
+/// knows, and news follows only where digests differ. Probes wait while the byte
+/// budget is spent.
 ///
 /// No I/O and no clock: the shell calls step() and carries out the actions.
 #pragma once
@@ -150,6 +152,9 @@
     /// The newest payload of a key that is kept, if there is one.
     [[nodiscard]] std::optional<payload> latest(const std::string& key) const;
 
+    /// Equal at two daemons that know the same members and kept payloads.
+    [[nodiscard]] std::uint32_t digest() const;
+
     /// Totals since the start.
     [[nodiscard]] const traffic& counters() const { return m_counters; }
 
@@ -160,6 +165,7 @@
         domain_id domain;
         time_point sent;
         bool indirect{false};
+        bool repeated{false}; ///< the probe before it failed as well
     };
 
     struct relay {
@@ -222,13 +228,12 @@
     void push_fresh(time_point now);
     void note_heard(const endpoint& from, time_point now);
     void send(const endpoint& to, const message& content);
-    [[nodiscard]] rumours take_news();
+    [[nodiscard]] rumours take_news(detail::rumour_queue::selection wanted);
     [[nodiscard]] std::uint32_t transmissions() const;
-    [[nodiscard]] std::uint32_t digest() const;
 
     // Probes and suspicions (gossip_probe.cpp)
     void start_next_probe(time_point now);
-    void start_probe(const endpoint& target, time_point now);
+    void start_probe(const endpoint& target, bool repeated, time_point now);
     [[nodiscard]] std::optional<endpoint> choose_target();
     [[nodiscard]] std::optional<endpoint> choose_foreign_target();
     void advance_probes(time_point now);
--- a/packages/membership/include/gypsumstep/membership/settings.h
+++ b/packages/membership/include/gypsumstep/membership/settings.h
@@ -23,7 +23,7 @@
     duration transient_lifetime{60s};    ///< until a transient payload is forgotten
     duration tombstone_lifetime{24h};    ///< until a dead or departed member is forgotten
     std::uint32_t indirect_probes{3};    ///< members asked to probe in our place
-    std::uint32_t push_fanout{5};        ///< members that get a new rumour at once
+    std::uint32_t push_fanout{4};        ///< members that get a new rumour at once
     std::uint32_t cross_domain_every{5}; ///< each Nth probe goes to another failure domain
     std::uint32_t cut_probes{3};         ///< failed probes in a row until a domain is cut off
     double retransmit_factor{1.0};       ///< a rumour is sent this times log2(members) times
--- a/packages/membership/src/gossip_member.cpp
+++ b/packages/membership/src/gossip_member.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// How long unspent budget accumulates, in seconds.
-constexpr double burst_seconds = 4.0;
+constexpr double burst_seconds = 0.5;
 
 /// Wait for the byte budget to recover.
 constexpr duration budget_retry = 100ms;
@@ -180,8 +180,7 @@
         return is_reachable(m_table.find(peer)->failure_domain);
     };
     const auto peers = m_table.peers().sample(m_settings.push_fanout, m_random, reachable);
-    const rumours news = m_queue.take_fresh(max_message_bytes - datagram_header_bytes,
-                                            static_cast<std::uint32_t>(peers.size()) + 1);
+    const rumours news = m_queue.take_fresh(m_settings.news_bytes);
     for (const endpoint& peer : peers) {
         send(peer, gossip{news});
     }
@@ -216,12 +215,12 @@
     m_actions.emplace_back(send_message{to, content});
 }
 
-rumours gossip_member::take_news()
+rumours gossip_member::take_news(detail::rumour_queue::selection wanted)
 {
     if (!m_budget.allows(0)) {
         return {};
     }
-    return m_queue.take(m_settings.news_bytes, transmissions());
+    return m_queue.take(wanted, m_settings.news_bytes, transmissions());
 }
 
 std::uint32_t gossip_member::transmissions() const
--- a/packages/membership/src/gossip_probe.cpp
+++ b/packages/membership/src/gossip_probe.cpp
@@ -4,6 +4,9 @@
 #include <algorithm>
 
 namespace gypsumstep::membership {
+
+using selection = detail::rumour_queue::selection;
+
 namespace {
 
 /// Wait for the byte budget to recover before the next probe.
@@ -23,18 +26,18 @@
     m_next_probe = now + m_settings.probe_period;
     m_probe_count += 1;
     if (const auto target = choose_target()) {
-        start_probe(*target, now);
+        start_probe(*target, false, now);
     }
 }
 
-void gossip_member::start_probe(const endpoint& target, time_point now)
+void gossip_member::start_probe(const endpoint& target, bool repeated, time_point now)
 {
     const member_record* record = m_table.find(target);
-    rumours news = take_news();
+    rumours news = take_news(selection::uncovered);
     if (record->status == member_status::suspect) {
         news.insert(news.begin(), *record);
     }
-    m_probes.push_back({++m_sequence, target, record->failure_domain, now, false});
+    m_probes.push_back({++m_sequence, target, record->failure_domain, now, false, repeated});
     send(target, ping{m_sequence, digest(), std::move(news)});
 }
 
@@ -101,6 +104,8 @@
     for (const endpoint& peer : m_table.peers().sample(1, m_random, other)) {
         helpers.push_back(peer);
     }
+    // The first ping may just have been lost.
+    send(pending.target, ping{pending.sequence, digest(), {}});
     for (const endpoint& helper : helpers) {
         send(helper, ping_request{pending.sequence, pending.target});
     }
@@ -114,7 +119,12 @@
     }
     const bool own_domain = failed.domain == m_self.failure_domain;
     if (own_domain && m_links.heard_since(failed.domain, failed.sent)) {
-        suspect(failed.target, now);
+        if (failed.repeated) {
+            suspect(failed.target, now);
+        }
+        else {
+            start_probe(failed.target, true, now);
+        }
         return;
     }
     if (m_links.failed(failed.domain, failed.sent)) {
@@ -124,7 +134,7 @@
     // A second opinion at once, before the turn comes to this domain again.
     if (!own_domain && !m_links.heard_since(failed.domain, failed.sent) &&
         is_reachable(failed.domain) && m_budget.allows(0)) {
-        start_probe(m_table.peers().in_domain(failed.domain).pick(m_random), now);
+        start_probe(m_table.peers().in_domain(failed.domain).pick(m_random), false, now);
     }
 }
 
@@ -162,7 +172,11 @@
 void gossip_member::receive(const endpoint& from, const ping& content, time_point now)
 {
     learn(content.news, now);
-    rumours news = take_news();
+    const bool differs = content.digest != digest();
+    if (!differs) {
+        m_queue.note_shared(transmissions());
+    }
+    rumours news = take_news(differs ? selection::all : selection::uncovered);
     const member_record* sender = m_table.find(from);
     if (sender != nullptr && sender->status != member_status::alive) {
         // Lets the sender refute what is believed of it here.
@@ -182,6 +196,12 @@
         send(relayed->requester, indirect_ack{relayed->requested_sequence});
         m_relays.erase(relayed);
     }
+    if (content.digest == digest()) {
+        m_queue.note_shared(transmissions());
+    }
+    else if (rumours news = take_news(selection::all); !news.empty()) {
+        send(from, gossip{std::move(news)});
+    }
     learn(content.news, now);
     compare_digest(from, content.digest, now);
 }
--- a/packages/membership/tests/test_gossip.cpp
+++ b/packages/membership/tests/test_gossip.cpp
@@ -213,3 +213,25 @@
         CHECK(fleet.count([&](const auto& core) { return knows_all(core, running); }) == running);
     }
 }
+
+TEST_CASE("a daemon cut off with a suspicion pending does not declare the suspect dead")
+{
+    gossip_fleet fleet{10, 1, clean};
+    fleet.start_joined(10);
+    bool isolated = false;
+    fleet.observe([&](std::uint32_t, const action& item) {
+        const auto* change = std::get_if<member_changed>(&item);
+        if (!isolated && change != nullptr && change->record.status == member_status::suspect) {
+            isolated = true;
+            fleet.partition([](std::uint32_t number) { return number == 4; });
+        }
+    });
+    fleet.run_for(5s);
+    fleet.kill(3);
+    fleet.run_for(30s);
+    REQUIRE(isolated);
+    for (std::uint32_t other = 0; other < 10; ++other) {
+        CHECK(fleet.status(4, other) != member_status::dead);
+    }
+    CHECK(fleet.status(0, 3) == member_status::dead);
+}
--- a/packages/membership/tests/test_parts.cpp
+++ b/packages/membership/tests/test_parts.cpp
@@ -16,6 +16,11 @@
     return {{ip, 1}, domain_id{0}, daemon_id{1}, incarnation, status};
 }
 
+rumours take(detail::rumour_queue& queue, std::size_t bytes)
+{
+    return queue.take(detail::rumour_queue::selection::all, bytes, 3);
+}
+
 } // namespace
 
 TEST_CASE("an endpoint is read back as it was written")
@@ -55,9 +60,25 @@
     queue.push(record(1, 1, member_status::suspect));
     CHECK(queue.size() == 1);
     for (int sent = 0; sent < 3; ++sent) {
-        CHECK(queue.take(100, 3) == rumours{record(1, 1, member_status::suspect)});
+        CHECK(take(queue, 100) == rumours{record(1, 1, member_status::suspect)});
+    }
+    CHECK(take(queue, 100).empty());
+}
+
+TEST_CASE("what peers are known to share is dropped, but for what digests do not cover")
+{
+    detail::rumour_queue queue{10};
+    const payload delta{"delta", 1, payload_retention::transient, "x"};
+    queue.push(record(1, 1, member_status::alive));
+    queue.push(delta);
+    for (int shared = 0; shared < 5; ++shared) {
+        queue.note_shared(3);
+    }
+    CHECK(queue.take_fresh(100).size() == 2);
+    for (int shared = 0; shared < 3; ++shared) {
+        queue.note_shared(3);
     }
-    CHECK(queue.take(100, 3).empty());
+    CHECK(take(queue, 100) == rumours{delta});
 }
 
 TEST_CASE("rumours taken for a message keep to its bytes and to the queue's limit")
@@ -68,7 +89,7 @@
     }
     CHECK(queue.size() == 10);
     std::size_t bytes = 0;
-    const rumours taken = queue.take(40, 3);
+    const rumours taken = take(queue, 40);
     for (const rumour& item : taken) {
         bytes += encoded_size(item);
     }
