Drive failover from the daemons, with claims in the platform's table

Cause: the daemons watched their groups and could not replace a primary. Change: one monitor connection for each server carries status questions and control calls; the shell of failover::group_watcher turns answers into events and carries out its actions; claims go to the row failover/GROUP. The stand-in uses failover::grant_register and reports how long ago its primary, or a majority, last answered. Before: status only.

--- a/packages/backend/src/encode_result.cpp
+++ b/packages/backend/src/encode_result.cpp
@@ -29,6 +29,7 @@
 std::vector<pgwire::column> columns_of(const PGresult* taken)
 {
     std::vector<pgwire::column> columns;
+    columns.reserve(static_cast<std::size_t>(PQnfields(taken)));
     for (int i = 0; i < PQnfields(taken); ++i) {
         columns.push_back({PQfname(taken, i), static_cast<std::int32_t>(PQftype(taken, i)),
                            static_cast<std::int16_t>(PQfformat(taken, i)),
@@ -86,6 +87,7 @@
         return encode_error(taken);
     }
     std::vector<std::int32_t> types;
+    types.reserve(static_cast<std::size_t>(PQnparams(taken)));
     for (int i = 0; i < PQnparams(taken); ++i) {
         types.push_back(static_cast<std::int32_t>(PQparamtype(taken, i)));
     }
--- a/packages/daemon/src/group_watch.cpp
+++ b/packages/daemon/src/group_watch.cpp
@@ -2,91 +2,198 @@
 
 #include "clock.h"
 
-#include <nlohmann/json.hpp>
+#include "gypsumstep/base/random.h"
 
 namespace gypsumstep::daemon {
 namespace {
 
-constexpr auto poll_interval = std::chrono::milliseconds{100};
-constexpr duration answer_timeout = 1s;
+constexpr auto tick_interval = std::chrono::milliseconds{20};
+constexpr std::uint64_t grant_seed = 1;
+
+std::string call_text(const std::string& name, const std::vector<std::string>& arguments)
+{
+    std::string text = "SELECT " + name + "(";
+    for (std::size_t i = 0; i < arguments.size(); ++i) {
+        text += (i == 0 ? "" : ", ") + arguments[i];
+    }
+    return text + ")";
+}
+
+std::vector<std::string> claim_arguments(term asked, const failover::claim_id& claim)
+{
+    return {std::to_string(asked.value()), std::to_string(claim.claimant.value()),
+            std::to_string(claim.round)};
+}
+
+term read_term(const nlohmann::json& fields, const char* name)
+{
+    return term{fields.value(name, std::uint64_t{0})};
+}
+
+log_position read_position(const nlohmann::json& fields, const char* name)
+{
+    return parse_position(fields.value(name, std::string{})).value_or(log_position{});
+}
 
 } // namespace
 
-group_watch::group_watch(const fleet::document& document, group_id group, view_handler on_view)
-    : m_database{document.groups[group.value()].name}, m_group{group}, m_on_view{std::move(on_view)}
+group_watch::group_watch(const fleet::document& document, group_id group, daemon_id self,
+                         platform::client& platform, view_handler on_view)
+    : m_database{document.groups[group.value()].name}, m_group{group},
+      m_on_view{std::move(on_view)}, m_claims{platform, m_database},
+      m_watcher{self, document.groups[group.value()].servers, failover::settings{},
+                random_source{mix(self.value(), grant_seed + group.value())}}
 {
     for (const server_id id : document.groups[group.value()].servers) {
-        auto watched = std::make_unique<watched_server>();
-        watched->server = document.servers[id.value()];
-        watched->view.id = id;
-        watched->view.leaving = watched->server.leaving;
-        m_servers.push_back(std::move(watched));
+        watched_server& target = m_servers[id];
+        target.server = document.servers[id.value()];
+        target.view.id = id;
+        target.view.leaving = target.server.leaving;
+        m_names[target.server.name] = id;
     }
-    connect(&m_timer, &QTimer::timeout, this, &group_watch::poll);
-    m_timer.start(poll_interval);
-    poll();
+    for (auto& [id, target] : m_servers) {
+        target.monitor = std::make_unique<server_monitor>(
+            target.server, m_database,
+            [this, &target = target](const server_status& status) { take_status(target, status); },
+            [this, &target = target] { lose(target); });
+    }
+    step(failover::homed_servers{document.groups[group.value()].servers});
+    step(failover::set_automation{document.groups[group.value()].automation});
+    connect(&m_tick, &QTimer::timeout, this, [this] { step(failover::tick{}); });
+    m_tick.start(tick_interval);
 }
 
-void group_watch::poll()
+void group_watch::promote(const std::optional<server_id>& target, order_handler on_finished)
 {
-    for (const auto& each : m_servers) {
-        ask(*each);
-    }
+    const std::uint64_t order = m_next_order++;
+    m_orders[order] = std::move(on_finished);
+    step(failover::operator_order{order, target});
 }
 
-void group_watch::reconnect(watched_server& target)
+void group_watch::set_automation(bool enabled)
 {
-    const backend::connection_target where{target.server.address, target.server.port, m_database,
-                                           "gypsumstep"};
-    target.waiting = false;
-    target.asked_at = steady_now();
-    target.connection = std::make_unique<backend::connection>(
-        where, [this, &target] { ask(target); },
-        [this, &target] {
-            target.view.reachable = false;
-            publish();
-        });
+    step(failover::set_automation{enabled});
 }
 
-void group_watch::ask(watched_server& target)
+void group_watch::step(const failover::event& what)
 {
-    const bool overdue = steady_now() - target.asked_at > answer_timeout;
-    const bool closed =
-        !target.connection || target.connection->state() == backend::connection_state::closed;
-    if (closed || (overdue && target.connection->state() != backend::connection_state::idle)) {
-        target.view.reachable = false;
-        publish();
-        reconnect(target);
-        return;
+    for (const failover::action& each : m_watcher.step(what, steady_now())) {
+        std::visit([this](const auto& action) { carry_out(action); }, each);
     }
-    if (target.connection->state() != backend::connection_state::idle) {
-        return;
+}
+
+void group_watch::carry_out(const failover::ask_grant& what)
+{
+    m_servers.at(what.server)
+        .monitor->call(call_text("group_grant", claim_arguments(what.asked, what.claim)),
+                       [this, what](const server_status& status) {
+                           const bool granted =
+                               status.fields.value("answer", std::string{}) == "granted";
+                           step(failover::grant_answer{what.claim, what.server, what.asked, granted,
+                                                       read_term(status.fields, "granted"),
+                                                       read_position(status.fields, "last")});
+                       });
+}
+
+void group_watch::carry_out(const failover::promote& what)
+{
+    auto arguments = claim_arguments(what.asked, what.claim);
+    arguments.push_back("'" + to_string(what.at_least) + "'");
+    m_servers.at(what.server)
+        .monitor->call(
+            call_text("group_promote", arguments), [this, what](const server_status& status) {
+                const std::string text = status.fields.value("answer", std::string{});
+                auto answer = failover::promotion_answer::refused;
+                if (text == "promoted") {
+                    answer = failover::promotion_answer::promoted;
+                }
+                else if (text == "behind") {
+                    answer = failover::promotion_answer::behind;
+                }
+                step(failover::promote_answer{what.claim, what.server, what.asked, answer,
+                                              read_term(status.fields, "granted")});
+            });
+}
+
+void group_watch::carry_out(const failover::follow_primary& what)
+{
+    const fleet::server& primary = m_servers.at(what.primary.server).server;
+    const std::string port = std::to_string(primary.port + 1);
+    const std::vector<std::string> arguments{std::to_string(what.primary.primary_term.value()),
+                                             "'" + primary.address + "'", port,
+                                             "'" + primary.name + "'"};
+    m_servers.at(what.server)
+        .monitor->call(call_text("group_follow", arguments), [](const server_status&) {});
+}
+
+void group_watch::carry_out(const failover::read_claim& /*what*/)
+{
+    m_claims.read([this](const failover::claim_read& answer) { step(answer); });
+}
+
+void group_watch::carry_out(const failover::write_claim& what)
+{
+    m_claims.write(what.row, [this](const failover::claim_written& answer) { step(answer); });
+}
+
+void group_watch::carry_out(const failover::send_suspicion& /*what*/)
+{
+    // Every daemon homes all servers of its groups and votes for each by itself.
+}
+
+void group_watch::carry_out(const failover::announce& /*what*/)
+{
+    // Other daemons read the primary from the servers, all of which they home.
+    publish();
+}
+
+void group_watch::carry_out(const failover::order_finished& what)
+{
+    const auto found = m_orders.find(what.order);
+    if (found != m_orders.end()) {
+        found->second(what);
+        m_orders.erase(found);
     }
-    backend::work status;
-    status.sql = "SELECT group_status()";
-    target.asked_at = steady_now();
-    target.connection->run(status, [this, &target](const backend::work_answer& answer) {
-        if (!answer.connection_lost) {
-            take_status(target, answer.first_value);
-        }
-    });
 }
 
-void group_watch::take_status(watched_server& target, const std::string& status)
+failover::primary_view group_watch::primary_from(const nlohmann::json& fields) const
 {
-    const auto fields = nlohmann::json::parse(status, nullptr, false);
-    if (!fields.is_object()) {
-        return;
+    const auto found = m_names.find(fields.value("primary", std::string{}));
+    if (found == m_names.end()) {
+        return {};
     }
+    return {read_term(fields, "term"), found->second};
+}
+
+void group_watch::take_status(watched_server& target, const server_status& status)
+{
+    const nlohmann::json& fields = status.fields;
     const auto age = fields.value("age_us", duration::rep{-1});
     target.view.reachable = true;
-    target.view.applied =
-        parse_position(fields.value("applied", std::string{})).value_or(log_position{});
+    target.view.applied = read_position(fields, "applied");
     // The server's age was counted from its answer, which is not older than the question.
-    target.view.current_at = age < 0 ? routing::never : target.asked_at - duration{age};
-    target.view.expected_wait = steady_now() - target.asked_at;
-    target.reported_term = term{fields.value("term", std::uint64_t{0})};
+    target.view.current_at = age < 0 ? routing::never : status.asked_at - duration{age};
+    target.view.expected_wait = steady_now() - status.asked_at;
+    target.reported = primary_from(fields);
     target.reports_primary = fields.value("role", std::string{}) == "primary";
+
+    failover::health_report report;
+    report.server = target.server.id;
+    report.role =
+        target.reports_primary ? failover::server_role::primary : failover::server_role::replica;
+    report.primary = target.reported;
+    report.granted = read_term(fields, "granted");
+    report.highest_seen = report.granted;
+    report.last = read_position(fields, "last");
+    report.primary_contact_age = duration{fields.value("contact_age_us", duration::rep{0})};
+    step(report);
+    publish();
+}
+
+void group_watch::lose(watched_server& target)
+{
+    target.view.reachable = false;
+    target.reports_primary = false;
     publish();
 }
 
@@ -94,12 +201,13 @@
 {
     routing::group_view view;
     view.id = m_group;
-    for (const auto& each : m_servers) {
-        view.servers.push_back(each->view);
-        if (each->reports_primary && each->reported_term >= view.current_term) {
-            view.current_term = each->reported_term;
-            view.primary = each->server.id;
-        }
+    view.current_term = m_watcher.highest_term();
+    for (const auto& [id, each] : m_servers) {
+        view.servers.push_back(each.view);
+    }
+    const failover::primary_view& known = m_watcher.known();
+    if (known.primary_term > term{}) {
+        view.primary = known.server;
     }
     m_on_view(view);
 }
--- a/packages/daemon/src/group_watch.h
+++ b/packages/daemon/src/group_watch.h
@@ -1,49 +1,76 @@
 /// \file
-/// Watches the servers of one group by asking each for its status.
+/// Watches the servers of one group and replaces a failed primary.
 #pragma once
 
-#include "gypsumstep/backend/connection.h"
+#include "claim_store.h"
+#include "server_monitor.h"
+
+#include "gypsumstep/failover/group_watcher.h"
 #include "gypsumstep/fleet/document.h"
+#include "gypsumstep/platform/client.h"
 #include "gypsumstep/routing/choose_server.h"
 
 #include <QTimer>
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <vector>
+#include <string>
 
 namespace gypsumstep::daemon {
 
-/// Keeps a view of one group up to date.
+/// Shell of one failover::group_watcher: carries events to it and its actions out.
 class group_watch : public QObject {
 public:
     using view_handler = std::function<void(const routing::group_view&)>;
+    using order_handler = std::function<void(const failover::order_finished&)>;
 
+    /// \param self this run of the daemon
+    /// \param platform outlives this object
     /// \param on_view called whenever a server's answer arrived or went missing
-    group_watch(const fleet::document& document, group_id group, view_handler on_view);
+    group_watch(const fleet::document& document, group_id group, daemon_id self,
+                platform::client& platform, view_handler on_view);
+
+    /// Makes \p target the primary on an operator's order.
+    void promote(const std::optional<server_id>& target, order_handler on_finished);
+
+    /// Lets the watch act unasked, or not.
+    void set_automation(bool enabled);
 
 private:
     struct watched_server {
         fleet::server server;
-        std::unique_ptr<backend::connection> connection;
+        std::unique_ptr<server_monitor> monitor;
         routing::server_view view;
-        term reported_term;
+        failover::primary_view reported;
         bool reports_primary{false};
-        time_point asked_at{};
-        bool waiting{false};
     };
 
-    void poll();
-    void ask(watched_server& target);
-    void take_status(watched_server& target, const std::string& status);
-    void reconnect(watched_server& target);
+    void step(const failover::event& what);
+    void carry_out(const failover::ask_grant& what);
+    void carry_out(const failover::promote& what);
+    void carry_out(const failover::follow_primary& what);
+    void carry_out(const failover::read_claim& what);
+    void carry_out(const failover::write_claim& what);
+    void carry_out(const failover::send_suspicion& what);
+    void carry_out(const failover::announce& what);
+    void carry_out(const failover::order_finished& what);
+
+    void take_status(watched_server& target, const server_status& status);
+    void lose(watched_server& target);
     void publish();
+    [[nodiscard]] failover::primary_view primary_from(const nlohmann::json& fields) const;
 
     std::string m_database;
     group_id m_group;
     view_handler m_on_view;
-    std::vector<std::unique_ptr<watched_server>> m_servers;
-    QTimer m_timer;
+    claim_store m_claims;
+    std::map<server_id, watched_server> m_servers;
+    std::map<std::string, server_id> m_names;
+    failover::group_watcher m_watcher;
+    std::map<std::uint64_t, order_handler> m_orders;
+    std::uint64_t m_next_order{1};
+    QTimer m_tick;
 };
 
 } // namespace gypsumstep::daemon
--- a/packages/daemon/src/home.h
+++ b/packages/daemon/src/home.h
@@ -18,7 +18,9 @@
 /// Serves execute requests for the servers that this daemon is a home of.
 class home : public QObject {
 public:
-    home(fleet::document document, front_home_channels& channels);
+    /// \param self this run of the daemon
+    home(fleet::document document, daemon_id self, const std::string& platform_url,
+         front_home_channels& channels);
 
     /// Starts to watch the groups; the rings must be wired before.
     void begin();
@@ -30,6 +32,8 @@
     void on_view(const routing::group_view& view);
 
     fleet::document m_document;
+    daemon_id m_self;
+    platform::client m_platform;
     front_home_channels& m_channels;
     std::map<server_id, std::unique_ptr<server_pool>> m_pools;
     std::vector<std::unique_ptr<group_watch>> m_watches;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -2,6 +2,7 @@
 #include "caller_front.h"
 #include "configuration_loader.h"
 #include "home.h"
+#include "identity.h"
 
 #include "gypsumstep/runtime/duty_thread.h"
 #include "gypsumstep/settings/settings.h"
@@ -42,7 +43,8 @@
         daemon::home* home = nullptr;
         daemon::caller_front* front = nullptr;
         m_home_thread.start([&] {
-            auto made = std::make_unique<daemon::home>(document, m_channels);
+            auto made = std::make_unique<daemon::home>(document, m_self, m_settings.platform_url,
+                                                       m_channels);
             home = made.get();
             return made;
         });
@@ -73,6 +75,7 @@
     }
 
     settings::daemon_settings m_settings;
+    daemon_id m_self{daemon::new_daemon_id()};
     daemon::front_home_channels m_channels;
     std::unique_ptr<daemon::configuration_loader> m_loader;
     runtime::duty_thread m_home_thread{"home"};
--- a/packages/daemon/src/server_pool.cpp
+++ b/packages/daemon/src/server_pool.cpp
@@ -164,7 +164,7 @@
     const std::string sql = std::string{"BEGIN; "} + key_table +
                             "INSERT INTO gypsumstep_requests VALUES (" +
                             sql_literal(target.request->request_key) + ")";
-    target.connection->run(simple_work(sql), [this, &target](backend::work_answer answer) {
+    target.connection->run(simple_work(sql), [this, &target](const backend::work_answer& answer) {
         if (answer.connection_lost) {
             return lose(target, "the connection was lost before the write");
         }
@@ -174,12 +174,13 @@
         const bool found = answer.sqlstate == unique_violation;
         target.answer.outcome = found ? execute_outcome::already_run : execute_outcome::not_run;
         target.answer.reason = found ? "the request key is stored" : "the server takes no writes";
-        target.connection->run(simple_work("ROLLBACK"), [this, &target](backend::work_answer end) {
-            if (end.connection_lost) {
-                return lose(target, "the connection was lost");
-            }
-            confirm(target);
-        });
+        target.connection->run(simple_work("ROLLBACK"),
+                               [this, &target](const backend::work_answer& end) {
+                                   if (end.connection_lost) {
+                                       return lose(target, "the connection was lost");
+                                   }
+                                   confirm(target);
+                               });
     });
 }
 
@@ -220,7 +221,7 @@
     const bool failed = !target.answer.answer.sqlstate.empty();
     target.commit_sent = !failed;
     target.connection->run(simple_work(failed ? "ROLLBACK" : "COMMIT"),
-                           [this, &target, failed](backend::work_answer end) {
+                           [this, &target, failed](const backend::work_answer& end) {
                                if (end.connection_lost) {
                                    return lose(target, "the connection was lost at the commit");
                                }
--- a/packages/pgwire/src/splitter.cpp
+++ b/packages/pgwire/src/splitter.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 constexpr std::size_t length_bytes = 4;
-constexpr std::size_t max_startup_bytes = 16 * 1024;
-constexpr std::size_t compact_above_bytes = 64 * 1024;
+constexpr std::size_t max_startup_bytes = 16UL * 1024;
+constexpr std::size_t compact_above_bytes = 64UL * 1024;
 
 } // namespace
 
--- a/packages/routing/tests/test_routing.cpp
+++ b/packages/routing/tests/test_routing.cpp
@@ -65,9 +65,9 @@
     group.servers[1].leaving = true;
     auto request = read_request(log_position{term{1}, 5}, {});
     CHECK(choose_server(group, request, now) == route{chosen_server{server_id{2}, false}});
-    request.tried.push_back(server_id{2});
+    request.tried.emplace_back(2);
     CHECK(choose_server(group, request, now) == route{chosen_server{server_id{0}, true}});
-    request.tried.push_back(server_id{0});
+    request.tried.emplace_back(0);
     CHECK(choose_server(group, request, now) == route{route_refusal::no_fresh_server});
 }
 
--- a/testing/demo/demo_client.cpp
+++ b/testing/demo/demo_client.cpp
@@ -52,6 +52,7 @@
 {
     std::vector<place> places;
     const std::vector<std::string> parts = absl::StrSplit(text, ',');
+    places.reserve(parts.size());
     for (const std::string& part : parts) {
         places.push_back(parse_place(part));
     }
@@ -175,18 +176,20 @@
 {
     bool granted = true;
     for (const place& each : backends) {
-        granted =
-            granted && connect_when_up(each, "").run("SELECT group_grant(1, 'demo')") != "refused";
+        granted = granted &&
+                  connect_when_up(each, "").run("SELECT group_grant(1, 1, 1)").find("granted") !=
+                      std::string::npos;
     }
     step(granted, "three backend servers granted term 1");
-    const std::string status = client{backends[0], ""}.run("SELECT group_promote(1)");
-    step(status.find("primary") != std::string::npos, "the first server is primary of term 1");
+    const std::string status = client{backends[0], ""}.run("SELECT group_promote(1, 1, 1, '0/0')");
+    step(status.find("promoted") != std::string::npos, "the first server is primary of term 1");
     const std::string from =
         "'" + backends[0].address + "', " + std::to_string(backends[0].port + 1);
     for (std::size_t i = 1; i < backends.size(); ++i) {
         client follower{backends[i], ""};
         (void)follower.run("SELECT group_set_lag_ms(300)");
-        step(follower.run("SELECT group_follow(1, " + from + ")") != "refused",
+        step(follower.run("SELECT group_follow(1, " + from + ", 'ledger-1-a')").find("following") !=
+                 std::string::npos,
              "server " + std::to_string(i + 1) + " replicates from it, 300 ms behind");
     }
 }
--- a/testing/standins/backend/client_connection.cpp
+++ b/testing/standins/backend/client_connection.cpp
@@ -21,6 +21,19 @@
                [](char a, char b) { return a == std::toupper(static_cast<unsigned char>(b)); });
 }
 
+std::string promotion_text(failover::promotion_answer answer)
+{
+    switch (answer) {
+    case failover::promotion_answer::promoted:
+        return "promoted";
+    case failover::promotion_answer::behind:
+        return "behind";
+    case failover::promotion_answer::refused:
+        break;
+    }
+    return "refused";
+}
+
 } // namespace
 
 client_connection::client_connection(QTcpSocket* socket, server_parts parts)
@@ -242,7 +255,7 @@
     }
 }
 
-void client_connection::run_query(std::string sql)
+void client_connection::run_query(const std::string& sql)
 {
     std::string_view rest = sql;
     bool sent_any = false;
@@ -364,19 +377,22 @@
     const QStringList arguments = QString::fromStdString(match[2]).remove('\'').split(',');
     const auto number = [&arguments](int i) { return arguments.value(i).trimmed().toULongLong(); };
     const auto text = [&arguments](int i) { return arguments.value(i).trimmed(); };
-    bool done = true;
+    const failover::claim_id claim{daemon_id{number(1)}, number(2)};
+    std::string answer = "done";
     if (name == "group_grant") {
-        done = m_parts.state.grant(term{number(0)}, text(1).toStdString());
+        answer = m_parts.state.grant(term{number(0)}, claim) ? "granted" : "refused";
     }
     else if (name == "group_promote") {
-        done = m_parts.state.promote(term{number(0)});
-        if (done) {
+        const auto at_least = parse_position(text(3).toStdString()).value_or(log_position{});
+        answer = promotion_text(m_parts.state.promote(term{number(0)}, claim, at_least));
+        if (m_parts.state.is_primary()) {
             m_parts.puller.stop();
         }
     }
     else if (name == "group_follow") {
-        done = m_parts.state.follow(term{number(0)});
-        if (done) {
+        const bool follows = m_parts.state.follow(term{number(0)}, text(3).toStdString());
+        answer = follows ? "following" : "refused";
+        if (follows) {
             m_parts.puller.start(text(1), static_cast<quint16>(number(2)));
         }
     }
@@ -391,9 +407,9 @@
         send_ready();
         return true;
     }
-    const std::string answer = done ? m_parts.state.status() : std::string{"refused"};
+    const std::string status = m_parts.state.status(answer);
     write(pgwire::row_description({{name}}));
-    write(pgwire::data_row({answer}));
+    write(pgwire::data_row({status}));
     write(pgwire::command_complete("SELECT 1"));
     send_ready();
     return true;
--- a/testing/standins/backend/client_connection.h
+++ b/testing/standins/backend/client_connection.h
@@ -58,7 +58,7 @@
     void handle_one(const pgwire::unsupported& message);
 
     void run_in_slot(std::function<void()> work);
-    void run_query(std::string sql);
+    void run_query(const std::string& sql);
     void run_portal();
     void resume();
     bool run_control(const std::string& sql);
--- a/testing/standins/backend/replica.cpp
+++ b/testing/standins/backend/replica.cpp
@@ -29,7 +29,7 @@
 
 bool replica::is_primary() const
 {
-    return m_primary && m_granted == m_term;
+    return m_primary && granted_term() == m_term;
 }
 
 duration replica::age() const
@@ -40,14 +40,16 @@
     return m_current_at ? steady_now() - *m_current_at : duration::max();
 }
 
-std::string replica::status() const
+std::string replica::status(const std::string& answer) const
 {
     nlohmann::json status;
+    status["answer"] = answer;
     status["server"] = m_options.name;
     status["role"] = is_primary() ? "primary" : "replica";
     status["term"] = m_term.value();
-    status["granted"] = m_granted.value();
-    status["claimant"] = m_claimant;
+    status["primary"] = is_primary() ? m_options.name : m_primary_name;
+    status["granted"] = granted_term().value();
+    status["contact_age_us"] = contact_age().count();
     status["last"] = to_string(last());
     status["applied"] = to_string(applied());
     status["held"] = to_string(m_held);
@@ -57,18 +59,28 @@
     return status.dump();
 }
 
-bool replica::grant(term wanted, const std::string& claimant)
+duration replica::contact_age() const
 {
-    if (wanted < m_granted || (wanted == m_granted && claimant != m_claimant)) {
-        return false;
+    if (!is_primary()) {
+        return steady_now() - m_contact_at;
+    }
+    std::vector<time_point> seen{steady_now()};
+    for (const auto& [name, at] : m_replica_seen) {
+        seen.push_back(at);
     }
-    const bool higher = wanted > m_granted;
-    m_granted = wanted;
-    m_claimant = claimant;
-    if (higher) {
+    seen.resize(std::max<std::size_t>(seen.size(), m_options.group_size), m_contact_at);
+    std::sort(seen.begin(), seen.end(), std::greater<>{});
+    return steady_now() - seen[m_options.group_size / 2];
+}
+
+bool replica::grant(term wanted, const failover::claim_id& claim)
+{
+    const bool higher = wanted > granted_term();
+    const bool granted = m_register.grant(wanted, claim);
+    if (granted && higher) {
         fence();
     }
-    return true;
+    return granted;
 }
 
 void replica::fence()
@@ -77,32 +89,38 @@
     m_current_at.reset();
 }
 
-bool replica::promote(term wanted)
+failover::promotion_answer replica::promote(term wanted, const failover::claim_id& claim,
+                                            log_position at_least)
 {
-    if (wanted != m_granted || (wanted <= m_term && !is_primary())) {
-        return false;
+    const bool in_office = is_primary() && m_term == wanted;
+    if (!in_office && wanted <= m_term) {
+        return failover::promotion_answer::refused;
     }
-    if (is_primary() && m_term == wanted) {
-        return true;
+    const auto answer = m_register.promote(wanted, claim, m_log.last(), at_least);
+    if (in_office || answer != failover::promotion_answer::promoted) {
+        return answer;
     }
     apply_all();
     m_term = wanted;
     m_primary = true;
+    m_contact_at = steady_now();
     m_replica_positions.clear();
+    m_replica_seen.clear();
     m_to_apply.clear();
     m_held = {};
     m_opening = commit({});
-    return true;
+    return answer;
 }
 
-bool replica::follow(term wanted)
+bool replica::follow(term wanted, const std::string& primary)
 {
-    if (wanted < m_granted || wanted < m_term || (wanted == m_term && is_primary())) {
+    if (wanted < m_term || (wanted == m_term && is_primary()) || !m_register.accept_entry(wanted)) {
         return false;
     }
-    m_granted = wanted;
     m_term = wanted;
     m_primary = false;
+    m_primary_name = primary;
+    m_contact_at = steady_now();
     m_primary_mark.reset();
     return true;
 }
@@ -122,6 +140,7 @@
         return;
     }
     m_replica_positions[name] = position;
+    m_replica_seen[name] = steady_now();
     update_held();
 }
 
@@ -146,7 +165,7 @@
 
 bool replica::take_entries(term from, log_position previous, const std::vector<log_entry>& entries)
 {
-    if (from != m_granted || from != m_term || m_primary || !m_log.contains(previous)) {
+    if (from != granted_term() || from != m_term || m_primary || !m_log.contains(previous)) {
         return false;
     }
     std::uint64_t index = previous.index;
@@ -214,6 +233,7 @@
 
 void replica::primary_was_at(log_position position, time_point asked_at)
 {
+    m_contact_at = asked_at;
     if (applied() >= position) {
         m_current_at = asked_at;
         m_primary_mark.reset();
--- a/testing/standins/backend/replica.h
+++ b/testing/standins/backend/replica.h
@@ -6,6 +6,7 @@
 #include "replica_log.h"
 
 #include "gypsumstep/base/time.h"
+#include "gypsumstep/failover/grant_register.h"
 
 #include <QObject>
 
@@ -39,7 +40,7 @@
     [[nodiscard]] const std::string& database_name() const { return m_database_name; }
     [[nodiscard]] bool is_primary() const;
     [[nodiscard]] term current_term() const { return m_term; }
-    [[nodiscard]] term granted_term() const { return m_granted; }
+    [[nodiscard]] term granted_term() const { return m_register.highest(); }
     [[nodiscard]] log_position last() const { return m_log.last(); }
     [[nodiscard]] log_position applied() const { return m_log.position_at(m_applied); }
     /// Newest position that a majority holds, as far as this primary knows.
@@ -47,15 +48,16 @@
     [[nodiscard]] const replica_log& log() const { return m_log; }
     /// How old this server's data may be, on its own clock.
     [[nodiscard]] duration age() const;
-    /// Status as one JSON line.
-    [[nodiscard]] std::string status() const;
+    /// Status as one JSON line; \p answer tells what became of a call.
+    [[nodiscard]] std::string status(const std::string& answer) const;
 
-    /// Grants \p wanted to \p claimant unless it or a higher term went to another.
-    bool grant(term wanted, const std::string& claimant);
-    /// Becomes the primary of a term that was granted here.
-    bool promote(term wanted);
-    /// Sets the term of the primary that this replica pulls from.
-    bool follow(term wanted);
+    /// Grants \p wanted to \p claim unless it or a higher term went to another.
+    bool grant(term wanted, const failover::claim_id& claim);
+    /// Becomes the primary of \p wanted if the register allows it.
+    failover::promotion_answer promote(term wanted, const failover::claim_id& claim,
+                                       log_position at_least);
+    /// Sets the primary that this replica pulls from; false if its term is too low.
+    bool follow(term wanted, const std::string& primary);
 
     /// Appends a committed transaction of this primary.
     log_position commit(std::vector<std::string> statements);
@@ -82,20 +84,23 @@
     void apply_all();
     void rebuild(std::uint64_t index);
     void fence();
+    [[nodiscard]] duration contact_age() const;
 
     replica_options m_options;
     std::string m_database_name;
     std::unique_ptr<database_session> m_writer;
     replica_log m_log;
     term m_term{0};
-    term m_granted{0};
-    std::string m_claimant;
+    failover::grant_register m_register;
+    std::string m_primary_name;
     bool m_primary{false};
     std::uint64_t m_applied{0};
     std::uint64_t m_generation{0};
     log_position m_held;
     log_position m_opening;
     std::map<std::string, log_position> m_replica_positions;
+    std::map<std::string, time_point> m_replica_seen;
+    time_point m_contact_at{};
     std::deque<std::pair<std::uint64_t, time_point>> m_to_apply;
     std::optional<std::pair<log_position, time_point>> m_primary_mark;
     std::optional<time_point> m_current_at;
