Give up work on a server that failed or was replaced

Cause: after kill -9 of the primary the gap in writes was 5.07 s. The write was sent again at once, was queued for the dead server and stayed there until its 5 s deadline; a write sent to a frozen primary would have waited as long. Ruled out: the election itself; the new primary was in office after 1.3 s. Change: the home refuses, as not run, the queue of a server that does not answer, and gives up writes on a replaced primary as unknown; the caller's request key then tells whether they ran.

--- a/packages/daemon/src/home.cpp
+++ b/packages/daemon/src/home.cpp
@@ -26,7 +26,7 @@
 void home::on_view(const routing::group_view& view)
 {
     for (const routing::server_view& server : view.servers) {
-        m_pools[server.id]->set_known_term(view.current_term);
+        m_pools[server.id]->update(server.reachable, view.current_term, server.id == view.primary);
     }
     // A view that does not fit is replaced by the next one.
     (void)m_channels.views.push(view);
--- a/packages/daemon/src/server_pool.cpp
+++ b/packages/daemon/src/server_pool.cpp
@@ -59,6 +59,10 @@
         start(*bound, std::move(request));
         return;
     }
+    if (!m_reachable) {
+        refuse(request, "the server does not answer");
+        return;
+    }
     if (m_queue.size() >= max_queue) {
         refuse(request, "the server's queue is full");
         return;
@@ -67,6 +71,38 @@
     dispatch();
 }
 
+void server_pool::update(bool reachable, term known_term, bool is_primary)
+{
+    // The known term may rise while a claim is open, before the primary changes.
+    const bool replaced = m_is_primary && !is_primary;
+    m_is_primary = is_primary;
+    m_known_term = std::max(m_known_term, known_term);
+    m_reachable = reachable;
+    if (replaced) {
+        give_up_replaced();
+    }
+    if (!reachable) {
+        refuse_queue("the server does not answer");
+    }
+}
+
+void server_pool::give_up_replaced()
+{
+    for (const auto& each : m_slots) {
+        if (each->request && each->request->is_write) {
+            lose(*each, "the primary was replaced before it confirmed");
+        }
+    }
+}
+
+void server_pool::refuse_queue(const std::string& reason)
+{
+    const auto queued = std::exchange(m_queue, {});
+    for (const execute_request& each : queued) {
+        refuse(each, reason);
+    }
+}
+
 void server_pool::release(binding_id binding)
 {
     if (slot* bound = find_binding(binding)) {
--- a/packages/daemon/src/server_pool.h
+++ b/packages/daemon/src/server_pool.h
@@ -35,8 +35,11 @@
     /// Rolls back and closes the binding's connection.
     void release(binding_id binding);
 
-    /// Sets the group's term as it is known here; commits of lower terms are not confirmed.
-    void set_known_term(term known) { m_known_term = known; }
+    /// Takes in what the watch knows: whether the server answers, and the group's primary.
+    ///
+    /// Queued work leaves a server that does not answer, so that it is routed anew. Work
+    /// sent to a replaced primary is given up: it cannot be confirmed any more.
+    void update(bool reachable, term known_term, bool is_primary);
 
 private:
     /// A connection and the request that it serves.
@@ -63,6 +66,8 @@
     void finish(slot& target);
     void lose(slot& target, const std::string& reason);
     void expire();
+    void refuse_queue(const std::string& reason);
+    void give_up_replaced();
     void remove_closed();
     void refuse(const execute_request& request, const std::string& reason);
     [[nodiscard]] slot* find_idle();
@@ -76,6 +81,8 @@
     QTimer m_expiry;
     std::uint64_t m_next_binding{1};
     term m_known_term;
+    bool m_reachable{true};
+    bool m_is_primary{false};
     bool m_connecting{false};
 };
 
--- a/testing/demo/demo_client.cpp
+++ b/testing/demo/demo_client.cpp
@@ -1,5 +1,7 @@
 // Sets up one group on the stand-ins, writes an order through one daemon and
 // reads it back through another with its session token.
+#include "pg_client.h"
+
 #include <QCoreApplication>
 #include <QEventLoop>
 #include <QNetworkAccessManager>
@@ -7,14 +9,8 @@
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_split.h>
-
-#include <libpq-fe.h>
-
 #include <nlohmann/json.hpp>
 
-#include <chrono>
 #include <cstdio>
 #include <memory>
 #include <string>
@@ -29,102 +25,9 @@
 
 namespace {
 
+using namespace gypsumstep::demo;
 using nlohmann::json;
 
-constexpr auto retry_interval = std::chrono::milliseconds{50};
-constexpr int max_attempts = 400;
-constexpr const char* group = "ledger-1";
-
-struct place {
-    std::string address;
-    int port{0};
-};
-
-place parse_place(const std::string& text)
-{
-    const std::vector<std::string> parts = absl::StrSplit(text, ':');
-    place parsed{parts.front(), 0};
-    (void)absl::SimpleAtoi(parts.back(), &parsed.port);
-    return parsed;
-}
-
-std::vector<place> parse_places(const std::string& text)
-{
-    std::vector<place> places;
-    const std::vector<std::string> parts = absl::StrSplit(text, ',');
-    places.reserve(parts.size());
-    for (const std::string& part : parts) {
-        places.push_back(parse_place(part));
-    }
-    return places;
-}
-
-/// Prints a step and ends the program if it failed.
-void step(bool held, const std::string& what)
-{
-    std::printf("%s  %s\n", held ? "ok    " : "FAILED", what.c_str());
-    std::fflush(stdout);
-    if (!held) {
-        std::exit(1); // NOLINT: single-threaded here
-    }
-}
-
-/// A blocking libpq connection.
-class client {
-public:
-    client(const place& where, const std::string& options)
-    {
-        const std::string info = "hostaddr=" + where.address +
-                                 " port=" + std::to_string(where.port) + " dbname=" + group +
-                                 " user=smith sslmode=prefer options='" + options + "'";
-        m_handle.reset(PQconnectdb(info.c_str()));
-    }
-
-    [[nodiscard]] bool connected() const { return PQstatus(m_handle.get()) == CONNECTION_OK; }
-
-    /// First value of the answer, or "error: ..." with its SQLSTATE.
-    std::string run(const std::string& sql, const std::vector<const char*>& parameters = {})
-    {
-        const std::unique_ptr<PGresult, decltype(&PQclear)> answer{
-            parameters.empty()
-                ? PQexec(m_handle.get(), sql.c_str())
-                : PQexecParams(m_handle.get(), sql.c_str(), static_cast<int>(parameters.size()),
-                               nullptr, parameters.data(), nullptr, nullptr, 0),
-            &PQclear};
-        const auto status = PQresultStatus(answer.get());
-        if (status != PGRES_COMMAND_OK && status != PGRES_TUPLES_OK) {
-            return "error: " + std::string{PQresultErrorMessage(answer.get())};
-        }
-        return PQntuples(answer.get()) > 0 ? PQgetvalue(answer.get(), 0, 0)
-                                           : PQcmdStatus(answer.get());
-    }
-
-    [[nodiscard]] std::string token() const
-    {
-        const char* value = PQparameterStatus(m_handle.get(), "gypsumstep.session");
-        return value == nullptr ? "" : value;
-    }
-
-private:
-    struct deleter {
-        void operator()(PGconn* handle) const { PQfinish(handle); }
-    };
-    std::unique_ptr<PGconn, deleter> m_handle;
-};
-
-/// Connects again until the other side accepts.
-client connect_when_up(const place& where, const std::string& options)
-{
-    for (int attempt = 0; attempt < max_attempts; ++attempt) {
-        client opened{where, options};
-        if (opened.connected()) {
-            return opened;
-        }
-        std::this_thread::sleep_for(retry_interval);
-    }
-    return client{where, options};
-}
-
 /// Sends one PUT to the platform stand-in.
 bool put(const std::string& path, const std::string& body)
 {
@@ -237,6 +140,5 @@
                      .dump()),
          "the platform holds configuration 1");
     write_and_read(daemons);
-    std::printf("every step held\n");
     return 0;
 }
