--- a/packages/config/src/records.cpp
+++ b/packages/config/src/records.cpp
@@ -1,5 +1,7 @@
 #include "gypsumstep/config/records.h"
 
+#include "gypsumstep/config/depth.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -35,6 +37,12 @@
     return {error_code::invalid_argument, std::string{"malformed "} + what};
 }
 
+error too_deep()
+{
+    return {error_code::invalid_argument,
+            "more than " + std::to_string(nesting_limit) + " levels of arrays and objects"};
+}
+
 } // namespace
 
 std::string history_key(config_version version)
@@ -119,17 +127,26 @@
 
 result<json> apply_patch(const json& document, const patch& change)
 {
+    if (!is_nested_within(change.content, nesting_limit)) {
+        return too_deep();
+    }
+    json changed;
     if (change.kind == patch_kind::merge) {
-        json merged = document;
-        merged.merge_patch(change.content);
-        return merged;
+        changed = document;
+        changed.merge_patch(change.content);
     }
-    try {
-        return document.patch(change.content);
+    else {
+        try {
+            changed = document.patch(change.content);
+        }
+        catch (const json::exception& failure) {
+            return error{error_code::invalid_argument, failure.what()};
+        }
     }
-    catch (const json::exception& failure) {
-        return error{error_code::invalid_argument, failure.what()};
+    if (!is_nested_within(changed, nesting_limit)) {
+        return too_deep();
     }
+    return changed;
 }
 
 json diff(const json& from, const json& to)
--- a/packages/config/tests/test_records.cpp
+++ b/packages/config/tests/test_records.cpp
@@ -1,4 +1,5 @@
 // Tests of the stored forms and of applying patches.
+#include "gypsumstep/config/depth.h"
 #include "gypsumstep/config/records.h"
 
 #include <catch2/catch.hpp>
@@ -65,3 +66,23 @@
         CHECK_FALSE(config::is_patch_id(text));
     }
 }
+
+TEST_CASE("nesting is bounded before anything recurses into it")
+{
+    json deep = 1;
+    for (std::size_t level = 0; level < 100'000; ++level) {
+        json outer = json::array();
+        outer.push_back(std::move(deep));
+        deep = std::move(outer);
+    }
+    const json at_limit = json::parse(std::string(config::nesting_limit, '[') +
+                                      std::string(config::nesting_limit, ']'));
+    CHECK(config::is_nested_within(at_limit, config::nesting_limit));
+    CHECK_FALSE(config::is_nested_within(at_limit, config::nesting_limit - 1));
+    CHECK_FALSE(config::is_nested_within(deep, config::nesting_limit));
+    const auto refused =
+        config::apply_patch(json::object(), make_patch(config::patch_kind::merge, std::move(deep)));
+    CHECK(refused.error().code == error_code::invalid_argument);
+    CHECK_FALSE(config::is_bounded_cbor(std::string(4'000'000, '\x81'), config::nesting_limit));
+    CHECK(config::is_bounded_cbor("\x81\x01", config::nesting_limit));
+}
