--- a/packages/membership/include/gypsumstep/membership/gossip_member.h
+++ b/packages/membership/include/gypsumstep/membership/gossip_member.h
@@ -205,6 +205,7 @@
     std::vector<probe> m_probes;
     std::vector<relay> m_relays;
     std::map<endpoint, suspicion> m_suspicions;
+    std::map<domain_id, time_point> m_link_alerts;
     std::optional<snapshot_fetch> m_fetch;
     time_point m_next_probe{};
     time_point m_next_cleanup{};
@@ -239,6 +240,8 @@
     void advance_probes(time_point now);
     void ask_others_to_probe(const probe& pending);
     void conclude_failed(const probe& failed, time_point now);
+    void report_link(domain_id domain, bool reachable, time_point now);
+    void receive_link_alert(const payload& alert, time_point now);
     void suspect(const endpoint& target, time_point now);
     void expire_suspicions(time_point now);
     void receive(const endpoint& from, const ping& content, time_point now);
--- a/packages/membership/include/gypsumstep/membership/payload.h
+++ b/packages/membership/include/gypsumstep/membership/payload.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace gypsumstep::membership {
 
@@ -14,6 +15,9 @@
 /// Longest body, in bytes.
 inline constexpr std::size_t max_payload_body = 300;
 
+/// Keys with this prefix are the gossip's own; they are never published by the shell.
+inline constexpr std::string_view link_alert_prefix = "link/";
+
 /// How long a payload is kept once it has spread.
 enum class payload_retention : std::uint8_t {
     latest = 0,    ///< the newest version of the key, handed to daemons that join later
--- a/packages/membership/include/gypsumstep/membership/settings.h
+++ b/packages/membership/include/gypsumstep/membership/settings.h
@@ -22,6 +22,7 @@
     duration settle_time{5s};            ///< an unchanged table is compared after this
     duration transient_lifetime{60s};    ///< until a transient payload is forgotten
     duration tombstone_lifetime{24h};    ///< until a dead or departed member is forgotten
+    duration link_alert_interval{30s};   ///< between alerts about the same failure domain
     std::uint32_t indirect_probes{3};    ///< members asked to probe in our place
     std::uint32_t push_fanout{4};        ///< members that get a new rumour at once
     std::uint32_t cross_domain_every{5}; ///< each Nth probe goes to another failure domain
--- a/packages/membership/src/gossip_member.cpp
+++ b/packages/membership/src/gossip_member.cpp
@@ -141,9 +141,13 @@
 void gossip_member::learn(const payload& value, time_point now)
 {
     if (m_payloads.accept(value, now)) {
+        spread(value, now);
+        if (value.key.starts_with(link_alert_prefix)) {
+            receive_link_alert(value, now);
+            return;
+        }
         m_table_changed = now;
         m_actions.emplace_back(payload_received{value});
-        spread(value, now);
     }
 }
 
@@ -193,11 +197,11 @@
 {
     // Any message at all shows that this daemon itself is connected.
     if (m_links.heard(m_self.failure_domain, now)) {
-        m_actions.emplace_back(domain_changed{m_self.failure_domain, true});
+        report_link(m_self.failure_domain, true, now);
     }
     const member_record* sender = m_table.find(from);
     if (sender != nullptr && m_links.heard(sender->failure_domain, now)) {
-        m_actions.emplace_back(domain_changed{sender->failure_domain, true});
+        report_link(sender->failure_domain, true, now);
     }
 }
 
--- a/packages/membership/src/gossip_probe.cpp
+++ b/packages/membership/src/gossip_probe.cpp
@@ -15,6 +15,15 @@
 /// Share of the probes into other domains that go to those that are cut off.
 constexpr double cut_domain_share = 0.5;
 
+/// Alerts are told apart by a random version.
+constexpr std::uint64_t version_range = std::uint64_t{1} << 32U;
+
+std::string link_alert_key(domain_id observer, domain_id subject)
+{
+    return std::string{link_alert_prefix} + std::to_string(observer.value()) + "/" +
+           std::to_string(subject.value());
+}
+
 } // namespace
 
 void gossip_member::start_next_probe(time_point now)
@@ -128,16 +137,50 @@
         return;
     }
     if (m_links.failed(failed.domain, failed.sent)) {
-        m_actions.emplace_back(domain_changed{failed.domain, false});
+        report_link(failed.domain, false, now);
         return;
     }
     // A second opinion at once, before the turn comes to this domain again.
     if (!own_domain && !m_links.heard_since(failed.domain, failed.sent) &&
-        is_reachable(failed.domain) && m_budget.allows(0)) {
+        is_reachable(failed.domain)) {
         start_probe(m_table.peers().in_domain(failed.domain).pick(m_random), false, now);
     }
 }
 
+void gossip_member::report_link(domain_id domain, bool reachable, time_point now)
+{
+    m_actions.emplace_back(domain_changed{domain, reachable});
+    const auto last = m_link_alerts.find(domain);
+    const bool alerted =
+        last != m_link_alerts.end() && now - last->second < m_settings.link_alert_interval;
+    if (domain == m_self.failure_domain || alerted) {
+        return;
+    }
+    m_link_alerts[domain] = now;
+    const payload alert{link_alert_key(m_self.failure_domain, domain),
+                        m_random.below(version_range),
+                        payload_retention::transient,
+                        {}};
+    if (m_payloads.accept(alert, now)) {
+        spread(alert, now);
+    }
+}
+
+/// Members of the domain that raised the alert look for themselves; nobody takes it on trust.
+void gossip_member::receive_link_alert(const payload& alert, time_point now)
+{
+    for (const domain_id domain : m_table.peers().domains()) {
+        if (alert.key != link_alert_key(m_self.failure_domain, domain)) {
+            continue;
+        }
+        const auto last = m_link_alerts.find(domain);
+        if (last == m_link_alerts.end() || now - last->second >= m_settings.link_alert_interval) {
+            m_link_alerts[domain] = now;
+            start_probe(m_table.peers().in_domain(domain).pick(m_random), false, now);
+        }
+    }
+}
+
 void gossip_member::suspect(const endpoint& target, time_point now)
 {
     member_record doubted = *m_table.find(target);
@@ -219,7 +262,7 @@
         return;
     }
     if (m_links.heard(pending->domain, now)) {
-        m_actions.emplace_back(domain_changed{pending->domain, true});
+        report_link(pending->domain, true, now);
     }
     m_probes.erase(pending);
 }
--- a/packages/membership/tests/test_gossip.cpp
+++ b/packages/membership/tests/test_gossip.cpp
@@ -102,7 +102,8 @@
         deaths += change != nullptr && change->record.status == member_status::dead ? 1 : 0;
     });
     fleet.partition([](std::uint32_t number) { return number % 3 == 1; });
-    fleet.run_for(120s);
+    // The first member that notices has the others of its domain look as well.
+    fleet.run_for(45s);
     CHECK(deaths == 0);
     CHECK(fleet.count([](const auto& core) { return core.is_reachable(domain_id{1}); }) == 20);
     CHECK_FALSE(fleet.core(0).find(address_of(1))->reachable);
@@ -111,7 +112,7 @@
     fleet.give(0, publish{{"primary/3", 4, payload_retention::latest, "server 9"}});
     fleet.run_for(60s);
     fleet.network().heal_all();
-    fleet.run_for(120s);
+    fleet.run_for(45s);
     CHECK(fleet.count([](const auto& core) { return knows_all(core, size); }) == size);
     CHECK(fleet.count([](const auto& core) { return core.latest("config/head").has_value(); }) ==
           size);
--- a/testing/experiments/capacity.cpp
+++ b/testing/experiments/capacity.cpp
@@ -1,5 +1,6 @@
 // Measures what membership and homes cost one daemon, from small fleets up to the
 // size to design for, and fits straight lines through the figures.
+#include "fault_run.h"
 #include "gossip_load.h"
 #include "homes_load.h"
 #include "measurement.h"
@@ -15,7 +16,7 @@
 #include <vector>
 
 // NOLINTBEGIN: the flag macros define globals
-ABSL_FLAG(std::string, part, "all", "gossip, homes, spread or all");
+ABSL_FLAG(std::string, part, "all", "gossip, homes, spread, faults or all");
 ABSL_FLAG(std::string, json, "", "file for the figures as JSON");
 ABSL_FLAG(std::vector<std::string>, members, (std::vector<std::string>{"50", "200", "800", "3400"}),
           "sizes of the fleet around one core");
@@ -140,6 +141,23 @@
     }
 }
 
+void measure_faults(std::vector<measurement>& results)
+{
+    measurement faults{"whole fleet of real cores, faults, loss 1%",
+                       "members",
+                       {"dead, domain s", "dead, all s", "cut median s", "cut worst s",
+                        "cut deaths", "heal worst s", "join domain s", "join all s",
+                        "join bytes/s in"}};
+    constexpr double loss = 0.01;
+    for (const std::uint32_t members : sizes_of(absl::GetFlag(FLAGS_fleet))) {
+        const fault_result run = run_faults(members, loss, absl::GetFlag(FLAGS_seed));
+        faults.add(members, {run.dead_own_domain, run.dead_everywhere, run.cut_median,
+                             run.cut_worst, run.cut_deaths, run.heal_worst, run.join_own_domain,
+                             run.join_complete, run.join_bytes_in});
+    }
+    results.push_back(faults);
+}
+
 int run()
 {
     const std::string part = absl::GetFlag(FLAGS_part);
@@ -153,6 +171,9 @@
     if (part == "all" || part == "spread") {
         measure_spread(results);
     }
+    if (part == "all" || part == "faults") {
+        measure_faults(results);
+    }
     nlohmann::json figures = nlohmann::json::array();
     for (const measurement& item : results) {
         item.print(std::cout);
--- a/testing/experiments/gossip_load.cpp
+++ b/testing/experiments/gossip_load.cpp
@@ -118,9 +118,11 @@
             return;
         }
         m_wakeup = due;
-        m_queue.after(due - m_queue.now(), [this] {
-            m_wakeup.reset();
-            give(tick{});
+        m_queue.after(due - m_queue.now(), [this, due] {
+            if (m_wakeup == due) {
+                m_wakeup.reset();
+                give(tick{});
+            }
         });
     }
 
