--- a/packages/failover/include/gypsumstep/failover/detail/group_watcher_impl.h
+++ b/packages/failover/include/gypsumstep/failover/detail/group_watcher_impl.h
@@ -264,10 +264,8 @@
         return;
     }
     m_round.reset();
+    m_start_planned = true;
     m_not_before = held + m_random.between(duration{0}, m_settings.start_jitter);
-    if (m_order) {
-        finish_order(order_outcome::refused, "another daemon's claim is open", out);
-    }
 }
 
 template <failover_rules Rules>
