Fit gypsumstepctl to the configuration records, wait longer for a patch

Cause: packages/config works on one patch for up to 30 s and stores changes as {version, kind, content, patch_id, author, reason, time_ms}. With the usual timeout of 5 s a patch was asked for again while the daemon was still working on it, and the history looked for other keys.

A patch now waits 35 s for each answer and says so before it is sent. History and stale refusals read the stored records; times are shown in UTC.

Not run: against the operator endpoint, which the daemon does not have yet.

--- a/packages/ctl/include/gypsumstep/ctl/exchange.h
+++ b/packages/ctl/include/gypsumstep/ctl/exchange.h
@@ -20,6 +20,7 @@
     method verb{method::get};
     std::string path;    ///< e.g. "/v1/status"
     nlohmann::json body; ///< of a post
+    duration patience{}; ///< how long the daemon may take at least, whatever the timeout
 };
 
 /// How an exchange ended.
--- a/packages/ctl/include/gypsumstep/ctl/runner.h
+++ b/packages/ctl/include/gypsumstep/ctl/runner.h
@@ -16,6 +16,9 @@
 /// How often a patch is sent with the same id before its outcome counts as unknown.
 inline constexpr int patch_attempts = 4;
 
+/// How long a daemon may work on a patch while the platform is slow.
+inline constexpr duration patch_patience = 35s;
+
 /// Pause before a patch is sent again.
 inline constexpr duration patch_retry_pause = 500ms;
 
@@ -174,7 +177,7 @@
 
     exit_code fetch(const std::string& path, json& target)
     {
-        const request asked{method::get, path, {}};
+        const request asked{method::get, path, {}, {}};
         const answer got = m_transport.send(asked);
         if (const auto problem = failure_of(asked, got)) {
             return fail(*problem);
@@ -206,7 +209,7 @@
 
     exit_code act(const std::string& path, json body)
     {
-        const request asked{method::post, path, std::move(body)};
+        const request asked{method::post, path, std::move(body), {}};
         const answer got = m_transport.send(asked);
         if (const auto problem = failure_of(asked, got)) {
             if (problem->code == exit_code::unknown) {
@@ -221,7 +224,10 @@
     /// Sends a patch. Its id makes it safe to send again after a lost answer.
     exit_code submit(json body)
     {
-        const request asked{method::post, "/v1/config/patch", std::move(body)};
+        const request asked{method::post, "/v1/config/patch", std::move(body), patch_patience};
+        m_messages << "submitting a patch against version " << asked.body.at("base")
+                   << "; this may take " << patch_patience / 1s
+                   << " s while the platform is slow\n";
         bool may_be_done = false;
         for (int attempt = 1;; ++attempt) {
             const answer got = m_transport.send(asked);
--- a/packages/ctl/src/help.cpp
+++ b/packages/ctl/src/help.cpp
@@ -32,7 +32,7 @@
   --daemon=ADDRESS:PORT   operator endpoint of any daemon (default 127.0.0.1:6434)
   --key-file=FILE         file whose first line is an operator key
   --json                  print JSON in place of tables
-  --timeout-ms=NUMBER     how long to wait for one answer (default 5000)
+  --timeout-ms=NUMBER     how long to wait for one answer (default 5000; a patch: 35 s)
   --base, --author, --reason, --id
                           see config patch. The author is $USER if left out. A patch that
                           is sent again with the same id never counts twice.
--- a/packages/ctl/src/http_transport.cpp
+++ b/packages/ctl/src/http_transport.cpp
@@ -5,6 +5,7 @@
 #include <QNetworkReply>
 #include <QNetworkRequest>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <thread>
@@ -52,7 +53,8 @@
 {
     const QUrl target = m_base.resolved(QUrl{QString::fromStdString(message.path)});
     QNetworkRequest outgoing{target};
-    const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(m_timeout);
+    const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::max(m_timeout, message.patience));
     outgoing.setTransferTimeout(static_cast<int>(timeout.count()));
     if (!m_key.empty()) {
         outgoing.setRawHeader("Authorization", QByteArray::fromStdString("Bearer " + m_key));
--- a/packages/ctl/src/render.cpp
+++ b/packages/ctl/src/render.cpp
@@ -3,7 +3,9 @@
 #include "json_access.h"
 #include "text_table.h"
 
+#include <array>
 #include <cmath>
+#include <ctime>
 
 namespace gypsumstep::ctl {
 
@@ -16,6 +18,7 @@
 using nlohmann::json;
 
 constexpr double milliseconds_per_second = 1000.0;
+constexpr double latest_time_ms = 253'402'300'799'000.0; // the end of the year 9999
 
 /// "140 ms" below a second, "2.5 s" above.
 std::string duration_text(std::optional<double> milliseconds)
@@ -30,6 +33,23 @@
     return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10) + " s";
 }
 
+/// The time of a change in UTC, to the second.
+std::string when_text(const json& change)
+{
+    const auto milliseconds = detail::number(change, "time_ms");
+    if (!milliseconds || std::abs(*milliseconds) > latest_time_ms) {
+        return detail::absent;
+    }
+    const auto seconds = static_cast<std::time_t>(*milliseconds / milliseconds_per_second);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    constexpr std::size_t longest_time = 32;
+    std::array<char, longest_time> buffer{};
+    const std::size_t length =
+        std::strftime(buffer.data(), buffer.size(), "%Y-%m-%d %H:%M:%SZ", &parts);
+    return {buffer.data(), length};
+}
+
 std::string alarms_text(const status_view& status)
 {
     if (status.alarms.empty()) {
@@ -93,8 +113,10 @@
     std::string result;
     if (changes.is_array()) {
         for (const json& one : changes) {
-            result += "\n  " + text(one, "op") + " " + text(one, "path");
-            result += one.contains("value") ? " = " + one.at("value").dump() : "";
+            result += "\n  version " + text(one, "version") + " by " + text(one, "author") + ": " +
+                      text(one, "reason");
+            const json& content = member(one, "content");
+            result += content.is_null() ? "" : "\n    " + content.dump();
         }
     }
     return result;
@@ -143,7 +165,7 @@
     if (versions.is_array()) {
         for (const json& one : versions) {
             table.add(
-                {text(one, "version"), text(one, "at"), text(one, "author"), text(one, "reason")});
+                {text(one, "version"), when_text(one), text(one, "author"), text(one, "reason")});
         }
     }
     const std::string result = table.text();
--- a/packages/ctl/tests/test_http_transport.cpp
+++ b/packages/ctl/tests/test_http_transport.cpp
@@ -52,7 +52,7 @@
 constexpr duration short_timeout = 200ms;
 constexpr duration long_timeout = 20s;
 
-const request promote{method::post, "/v1/promote?x=1", {{"group", "g"}}};
+const request promote{method::post, "/v1/promote?x=1", {{"group", "g"}}, {}};
 
 /// QNetworkAccessManager needs an application for the life of the program.
 void need_application()
--- a/packages/ctl/tests/test_render.cpp
+++ b/packages/ctl/tests/test_render.cpp
@@ -49,10 +49,13 @@
 TEST_CASE("a refusal shows the version in force, what changed and all findings")
 {
     const auto refusal = json::parse(R"({"error": {"code": "stale_base", "message": "stale"},
-        "version": 9, "changes": [{"op": "replace", "path": "/groups/g/automation", "value": false}],
+        "version": 9, "changes": [{"version": 9, "author": "bo", "reason": "calm",
+            "content": {"groups": {"g": {"automation": false}}}}],
         "findings": [{"line": 3, "column": 9, "path": "/a", "message": "bad"}]})");
     CHECK(render_error(refusal) == "stale\nversion in force: 9\nchanged since the base:\n"
-                                   "  replace /groups/g/automation = false\n  3:9: /a: bad");
+                                   "  version 9 by bo: calm\n"
+                                   "    {\"groups\":{\"g\":{\"automation\":false}}}\n"
+                                   "  3:9: /a: bad");
 }
 
 TEST_CASE("a difference names old and new values")
@@ -61,3 +64,13 @@
     const auto to = json::parse(R"({"a": 3, "c": "x"})");
     CHECK(render_difference(from, to) == "replace /a: 1 -> 3\nremove /b: 2\nadd /c: \"x\"\n");
 }
+
+TEST_CASE("the history shows when in UTC")
+{
+    const auto history = json::parse(R"({"versions": [
+        {"version": 2, "time_ms": 1796377500123, "author": "bo", "reason": "calm"},
+        {"version": 1, "time_ms": 1e300, "author": "ida"}]})");
+    CHECK(render_history(history) == "VERSION  WHEN                  WHO  WHY\n"
+                                     "2        2026-12-04 09:45:00Z  bo   calm\n"
+                                     "1        -                     ida  -\n");
+}
--- a/packages/ctl/tests/test_runner.cpp
+++ b/packages/ctl/tests/test_runner.cpp
@@ -104,6 +104,8 @@
     CHECK(one.run(to_version_two) == exit_code::ok);
     CHECK(one.daemon.sent[2].body == one.daemon.sent[3].body);
     CHECK(one.daemon.pauses == 1);
+    CHECK(one.daemon.sent[2].patience == patch_patience);
+    CHECK(one.daemon.sent[0].patience == 0s);
 }
 
 TEST_CASE("a patch that may have counted is never reported as not done")
