--- a/testing/experiments/flood/main.cpp
+++ b/testing/experiments/flood/main.cpp
@@ -6,8 +6,10 @@
 #include <absl/flags/usage.h>
 #include <nlohmann/json.hpp>
 
+#include <cstdio>
 #include <iostream>
 
+// NOLINTBEGIN: absl's macros define globals
 ABSL_FLAG(std::string, site, "all", "holmgaard, mixlume, mixed or all");
 ABSL_FLAG(std::string, variant, "all",
           "ranked, first_come_first_served, strict_priority, "
@@ -16,6 +18,7 @@
           "flood arrivals over capacity");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the run");
 ABSL_FLAG(bool, json, false, "print JSON lines in place of a table");
+// NOLINTEND
 
 namespace {
 
