Order each server's requests by rank, floors and callers

Cause: the home served requests first come, first served, so a flood of the lowest rank would have delayed urgent writes. Change: admission::server_queue decides in front of every server; a refused request is answered at once as not run, with a hint when to return. The slot is freed when the server has answered; the wait for the majority takes none.

--- a/packages/daemon/src/caller_session.cpp
+++ b/packages/daemon/src/caller_session.cpp
@@ -93,6 +93,8 @@
         send_fatal("3D000", "there is no database group \"" + m_group + "\"");
         return;
     }
+    // Callers are told apart by their user names.
+    m_caller = caller_id{static_cast<std::uint32_t>(std::hash<std::string>{}(value_of("user")))};
     for (const auto& [name, value] : session::parse_startup_options(value_of("options"))) {
         const auto applied = session::apply_setting(m_settings, name, value);
         if (applied.has_error()) {
@@ -290,6 +292,7 @@
     request.server = target;
     request.binding = m_binding;
     request.priority = m_settings.declared.priority;
+    request.caller = m_caller;
     request.is_write = m_settings.declared.mode == session::access_mode::write;
     request.request_key = m_settings.declared.request_key;
     request.at_least = m_route.seen;
@@ -362,6 +365,13 @@
         fail_work(refusal::not_run, answer.reason);
         return;
     }
+    if (answer.retry_after) {
+        // The server is overloaded: the caller is told at once instead of queueing here.
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(*answer.retry_after);
+        fail_work(refusal::not_run,
+                  answer.reason + "; try again in " + std::to_string(wait.count()) + " ms");
+        return;
+    }
     m_route.tried.push_back(answer.server);
     route();
 }
--- a/packages/daemon/src/home.cpp
+++ b/packages/daemon/src/home.cpp
@@ -9,7 +9,7 @@
 {
     for (const fleet::server& server : m_document.servers) {
         m_pools[server.id] = std::make_unique<server_pool>(
-            server, m_document.groups[server.group.value()].name,
+            server, m_document.groups[server.group.value()].name, m_document.ranks,
             [this](const execute_answer& answer) { (void)m_channels.answers.push(answer); });
     }
 }
--- a/packages/daemon/src/messages.h
+++ b/packages/daemon/src/messages.h
@@ -24,6 +24,7 @@
     server_id server;
     binding_id binding; ///< connection of the session's open transaction
     rank priority{rank::last};
+    caller_id caller;
     bool is_write{true};
     std::string request_key;
     std::optional<log_position> at_least; ///< a read must see this position
@@ -54,7 +55,8 @@
     backend::work_answer answer;
     binding_id binding; ///< set while a transaction is open
     std::optional<log_position> observed;
-    std::string reason; ///< why it was not answered, for people
+    std::optional<duration> retry_after; ///< hint of an overloaded server
+    std::string reason;                  ///< why it was not answered, for people
 };
 
 using request_channel = runtime::channel<execute_request>;
--- a/packages/daemon/src/server_pool.cpp
+++ b/packages/daemon/src/server_pool.cpp
@@ -11,7 +11,6 @@
 constexpr const char* unique_violation = "23505";
 constexpr const char* no_writes_here = "25006";
 constexpr auto expiry_interval = std::chrono::milliseconds{10};
-constexpr std::size_t max_queue = 4'096;
 
 /// The proxy's own table of request keys, kept in the group beside the data.
 constexpr const char* key_table =
@@ -41,8 +40,10 @@
 } // namespace
 
 server_pool::server_pool(const fleet::server& server, const std::string& database,
+                         const std::array<fleet::rank_target, rank_count>& ranks,
                          answer_handler on_answer)
-    : m_server{server}, m_database{database}, m_on_answer{std::move(on_answer)}
+    : m_server{server}, m_database{database}, m_on_answer{std::move(on_answer)}, m_queue{server,
+                                                                                         ranks}
 {
     connect(&m_expiry, &QTimer::timeout, this, &server_pool::expire);
     m_expiry.start(expiry_interval);
@@ -50,24 +51,19 @@
 
 void server_pool::execute(execute_request request)
 {
-    if (request.binding != binding_id{}) {
-        slot* bound = find_binding(request.binding);
-        if (bound == nullptr || bound->request) {
-            refuse(request, "the transaction's connection was lost and rolled back");
-            return;
-        }
-        start(*bound, std::move(request));
+    const bool bound = request.binding != binding_id{};
+    if (bound && find_binding(request.binding) == nullptr) {
+        refuse(request, "the transaction's connection was lost and rolled back");
         return;
     }
-    if (!m_reachable) {
+    if (!bound && !m_reachable) {
         refuse(request, "the server does not answer");
         return;
     }
-    if (m_queue.size() >= max_queue) {
-        refuse(request, "the server's queue is full");
+    if (const auto refused = m_queue.offer(request, steady_now())) {
+        refuse(request, admission::to_string(refused->reason), refused->retry_after);
         return;
     }
-    m_queue.push_back(std::move(request));
     dispatch();
 }
 
@@ -97,8 +93,7 @@
 
 void server_pool::refuse_queue(const std::string& reason)
 {
-    const auto queued = std::exchange(m_queue, {});
-    for (const execute_request& each : queued) {
+    for (const execute_request& each : m_queue.take_all(steady_now())) {
         refuse(each, reason);
     }
 }
@@ -136,15 +131,21 @@
 
 void server_pool::dispatch()
 {
-    while (!m_queue.empty()) {
-        slot* idle = find_idle();
-        if (idle == nullptr) {
-            open_connection();
-            return;
+    while (auto next = m_queue.take_ready()) {
+        const bool bound = next->binding != binding_id{};
+        slot* target = bound ? find_binding(next->binding) : find_idle();
+        if (target != nullptr) {
+            start(*target, std::move(*next));
+            continue;
+        }
+        if (bound) {
+            m_queue.finished(next->id, duration{0}, false, steady_now());
+            refuse(*next, "the transaction's connection was lost and rolled back");
+            continue;
         }
-        execute_request next = std::move(m_queue.front());
-        m_queue.pop_front();
-        start(*idle, std::move(next));
+        m_queue.put_back(std::move(*next));
+        open_connection();
+        return;
     }
 }
 
@@ -181,6 +182,7 @@
     target.answer = {};
     target.answer.id = request.id;
     target.answer.server = m_server.id;
+    target.started = steady_now();
     target.commit_before = reported(*target.connection, "group_commit");
     target.needed = {};
     target.waits_for_majority = false;
@@ -271,8 +273,16 @@
                            });
 }
 
+void server_pool::free_slot(const slot& target, bool ok)
+{
+    const time_point now = steady_now();
+    m_queue.finished(target.answer.id, now - target.started, ok, now);
+}
+
 void server_pool::confirm(slot& target)
 {
+    // The server is done with it; waiting for the majority takes no slot.
+    free_slot(target, true);
     const backend::connection& connection = *target.connection;
     const log_position snapshot = reported(connection, "group_snapshot");
     const log_position commit = reported(connection, "group_commit");
@@ -309,6 +319,7 @@
 void server_pool::finish(slot& target)
 {
     target.waits_for_majority = false;
+    free_slot(target, true);
     target.request.reset();
     const bool open = target.answer.answer.state != pgwire::transaction_state::idle;
     if (open && target.binding == binding_id{}) {
@@ -326,6 +337,7 @@
 {
     const execute_request request = std::move(*target.request);
     target.request.reset();
+    free_slot(target, false);
     target.waits_for_majority = false;
     target.connection->close();
     execute_answer answer;
@@ -339,13 +351,15 @@
         this, [this] { remove_closed(); }, Qt::QueuedConnection);
 }
 
-void server_pool::refuse(const execute_request& request, const std::string& reason)
+void server_pool::refuse(const execute_request& request, const std::string& reason,
+                         std::optional<duration> retry_after)
 {
     execute_answer answer;
     answer.id = request.id;
     answer.server = m_server.id;
     answer.outcome = execute_outcome::not_run;
     answer.reason = reason;
+    answer.retry_after = retry_after;
     m_on_answer(std::move(answer));
 }
 
@@ -357,11 +371,7 @@
             lose(*each, "the deadline passed while it ran");
         }
     }
-    std::vector<execute_request> late;
-    const auto is_late = [&](const execute_request& each) { return each.deadline <= now; };
-    std::copy_if(m_queue.begin(), m_queue.end(), std::back_inserter(late), is_late);
-    std::erase_if(m_queue, is_late);
-    for (const execute_request& each : late) {
+    for (const execute_request& each : m_queue.take_expired(now)) {
         refuse(each, "the deadline passed in the queue");
     }
     dispatch();
--- a/packages/daemon/src/server_pool.h
+++ b/packages/daemon/src/server_pool.h
@@ -3,15 +3,15 @@
 #pragma once
 
 #include "messages.h"
+#include "request_queue.h"
 
 #include "gypsumstep/backend/connection.h"
 #include "gypsumstep/fleet/document.h"
 
 #include <QTimer>
 
-#include <deque>
+#include <array>
 #include <functional>
-#include <map>
 #include <memory>
 #include <vector>
 
@@ -27,7 +27,9 @@
 
     /// \param server address and limits
     /// \param database name of the server's group
-    server_pool(const fleet::server& server, const std::string& database, answer_handler on_answer);
+    /// \param ranks floors and bounds of the queue
+    server_pool(const fleet::server& server, const std::string& database,
+                const std::array<fleet::rank_target, rank_count>& ranks, answer_handler on_answer);
 
     /// Runs or queues a request; the handler is called exactly once for it.
     void execute(execute_request request);
@@ -48,6 +50,7 @@
         std::optional<execute_request> request;
         execute_answer answer;
         binding_id binding;
+        time_point started{};
         log_position commit_before;
         log_position needed; ///< a majority must hold this before the answer is passed on
         bool waits_for_majority{false};
@@ -69,7 +72,9 @@
     void refuse_queue(const std::string& reason);
     void give_up_replaced();
     void remove_closed();
-    void refuse(const execute_request& request, const std::string& reason);
+    void free_slot(const slot& target, bool ok);
+    void refuse(const execute_request& request, const std::string& reason,
+                std::optional<duration> retry_after = std::nullopt);
     [[nodiscard]] slot* find_idle();
     [[nodiscard]] slot* find_binding(binding_id binding);
 
@@ -77,7 +82,7 @@
     std::string m_database;
     answer_handler m_on_answer;
     std::vector<std::unique_ptr<slot>> m_slots;
-    std::deque<execute_request> m_queue;
+    request_queue m_queue;
     QTimer m_expiry;
     std::uint64_t m_next_binding{1};
     term m_known_term;
