Add the operator endpoint, configuration by patches, logs, metrics, shutdown

Cause: gypsumstepctl had nothing to talk to, configuration was put into the platform by hand, and SIGTERM cut statements off. Change: an operator endpoint (status, metrics, configuration, promote, drain, freeze, log level); patches run through config::submission over the platform's table; each daemon follows the head once a second and only moves forward; automation and leaving servers are taken in at run time, and a leaving primary hands over. SIGTERM closes the listener, ends idle sessions with 57P01 and lets statements and transactions finish up to the limit; a second one ends at once. Found on the way: Qt 6.4's routes that return a QFuture crash on the second request of the process (segmentation fault in QFutureInterfaceBase, seen in gdb); they are replaced by responders that are kept until the answer is known. A connection that its client gave up while the stand-in delayed it was counted for ever, so a thawed server refused everybody; now it is not. Not done: servers added or moved need a restart of the daemons (a warning says so); the report route answers "not implemented".

--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -17,7 +17,7 @@
 ABSL_FLAG(std::string, key_file, "", "file whose first line is an operator key");
 ABSL_FLAG(bool, json, false, "print JSON in place of tables");
 ABSL_FLAG(std::uint32_t, timeout_ms, 5000, "how long to wait for one answer");
-ABSL_FLAG(std::uint64_t, base, 0, "configuration version that a patch is against");
+ABSL_FLAG(std::int64_t, base, -1, "configuration version that a patch is against; 0: none yet");
 ABSL_FLAG(std::string, author, "", "who makes the change; $USER if empty");
 ABSL_FLAG(std::string, reason, "", "why the change is made");
 ABSL_FLAG(std::string, id, "", "names a patch; made up if empty");
@@ -30,8 +30,8 @@
 command_options options_from_flags()
 {
     command_options options;
-    if (const auto base = absl::GetFlag(FLAGS_base); base > 0) {
-        options.base = base;
+    if (const auto base = absl::GetFlag(FLAGS_base); base >= 0) {
+        options.base = static_cast<std::uint64_t>(base);
     }
     const char* user = std::getenv("USER");
     options.author = absl::GetFlag(FLAGS_author);
--- a/packages/daemon/src/caller_front.cpp
+++ b/packages/daemon/src/caller_front.cpp
@@ -1,5 +1,7 @@
 #include "caller_front.h"
 
+#include "clock.h"
+
 #include <QHostAddress>
 
 #include <random>
@@ -7,8 +9,10 @@
 namespace gypsumstep::daemon {
 
 caller_front::caller_front(const settings::daemon_settings& settings,
-                           const fleet::document& document, front_home_channels& channels)
-    : m_settings{settings}, m_channels{channels}, m_random{std::random_device{}()}
+                           const fleet::document& document, front_home_channels& channels,
+                           daemon_metrics& metrics)
+    : m_settings{settings}, m_channels{channels}, m_random{std::random_device{}()}, m_metrics{
+                                                                                        metrics}
 {
     for (const fleet::group& group : document.groups) {
         m_groups[group.name].id = group.id;
@@ -41,6 +45,7 @@
         m_sessions[id] = std::make_unique<caller_session>(
             socket, *this, m_settings.max_message_bytes, static_cast<std::int32_t>(id.value()),
             secret, [this, id] { remove(id); });
+        m_metrics.sessions().set(static_cast<double>(m_sessions.size()));
     }
 }
 
@@ -55,13 +60,32 @@
                 return;
             }
             std::erase_if(m_waiting, [&found](const auto& each) {
-                return each.second == found->second.get();
+                return each.second.session == found->second.get();
             });
             m_sessions.erase(found);
+            m_metrics.sessions().set(static_cast<double>(m_sessions.size()));
+            check_drained();
         },
         Qt::QueuedConnection);
 }
 
+void caller_front::begin_shutdown(std::function<void()> on_drained)
+{
+    m_on_drained = std::move(on_drained);
+    m_server.close();
+    for (const auto& [id, session] : m_sessions) {
+        session->begin_shutdown();
+    }
+    check_drained();
+}
+
+void caller_front::check_drained()
+{
+    if (m_on_drained && m_sessions.empty()) {
+        std::exchange(m_on_drained, nullptr)();
+    }
+}
+
 void caller_front::drain()
 {
     m_channels.views.drain(
@@ -79,9 +103,12 @@
         }
         return;
     }
-    caller_session* session = found->second;
+    const waiting_session waiting = found->second;
     m_waiting.erase(found);
-    session->on_answer(std::move(answer));
+    const time_point now = steady_now();
+    const bool on_replica = m_groups[m_group_names[waiting.group]].primary != answer.server;
+    m_metrics.count(waiting.level, answer.outcome, on_replica, now - waiting.sent_at, now);
+    waiting.session->on_answer(std::move(answer));
 }
 
 const routing::group_view* caller_front::find_group(const std::string& name)
@@ -93,7 +120,9 @@
 bool caller_front::send(caller_session& from, execute_request request)
 {
     request.id = request_id{m_next_request++};
-    m_waiting[request.id] = &from;
+    const auto* group = find_group(from.group());
+    const group_id target = group == nullptr ? group_id{} : group->id;
+    m_waiting[request.id] = {&from, target, request.priority, steady_now()};
     if (!m_channels.requests.push(request)) {
         m_waiting.erase(request.id);
         return false;
--- a/packages/daemon/src/caller_front.h
+++ b/packages/daemon/src/caller_front.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "caller_session.h"
+#include "daemon_metrics.h"
 #include "messages.h"
 
 #include "gypsumstep/base/random.h"
@@ -22,7 +23,7 @@
 class caller_front : public QObject, public session_host {
 public:
     caller_front(const settings::daemon_settings& settings, const fleet::document& document,
-                 front_home_channels& channels);
+                 front_home_channels& channels, daemon_metrics& metrics);
     ~caller_front() override;
     caller_front(const caller_front&) = delete;
     caller_front& operator=(const caller_front&) = delete;
@@ -31,6 +32,10 @@
     /// \return false if the address is taken
     [[nodiscard]] bool listen();
 
+    /// Accepts no more callers and ends each session once its statement or
+    /// transaction is finished; \p on_drained is called when none is left.
+    void begin_shutdown(std::function<void()> on_drained);
+
     /// Takes what waits in the rings.
     void drain();
 
@@ -42,6 +47,15 @@
     void accept();
     void remove(session_id id);
     void deliver(execute_answer answer);
+    void check_drained();
+
+    /// A session that waits for an answer.
+    struct waiting_session {
+        caller_session* session{nullptr};
+        group_id group;
+        rank level{rank::last};
+        time_point sent_at{};
+    };
 
     settings::daemon_settings m_settings;
     front_home_channels& m_channels;
@@ -50,7 +64,9 @@
     std::map<std::string, routing::group_view> m_groups;
     std::map<group_id, std::string> m_group_names;
     std::unordered_map<session_id, std::unique_ptr<caller_session>> m_sessions;
-    std::unordered_map<request_id, caller_session*> m_waiting;
+    std::unordered_map<request_id, waiting_session> m_waiting;
+    daemon_metrics& m_metrics;
+    std::function<void()> m_on_drained;
     std::uint64_t m_next_session{1};
     std::uint64_t m_next_request{1};
 };
--- a/packages/daemon/src/caller_session.cpp
+++ b/packages/daemon/src/caller_session.cpp
@@ -37,6 +37,14 @@
     }
 }
 
+void caller_session::begin_shutdown()
+{
+    m_leaving = true;
+    if (!m_working && m_state == pgwire::transaction_state::idle) {
+        send_fatal("57P01", "this daemon is shutting down; connect again");
+    }
+}
+
 void caller_session::read()
 {
     if (m_working) {
@@ -424,6 +432,9 @@
 {
     m_skip_to_sync = false;
     write(pgwire::ready_for_query(m_state));
+    if (m_leaving) {
+        begin_shutdown();
+    }
 }
 
 void caller_session::write(const std::string& bytes)
--- a/packages/daemon/src/caller_session.h
+++ b/packages/daemon/src/caller_session.h
@@ -51,6 +51,12 @@
     caller_session(const caller_session&) = delete;
     caller_session& operator=(const caller_session&) = delete;
 
+    /// The group that this session uses.
+    [[nodiscard]] const std::string& group() const { return m_group; }
+
+    /// Ends the session as soon as no statement and no transaction is open.
+    void begin_shutdown();
+
     /// Takes the answer to the request that this session sent.
     void on_answer(execute_answer answer);
 
@@ -113,6 +119,7 @@
     server_id m_bound_server;
     bool m_started{false};
     bool m_skip_to_sync{false};
+    bool m_leaving{false};
 
     // The statement in progress.
     bool m_working{false};
--- /dev/null
+++ b/packages/daemon/src/daemon_process.cpp
@@ -0,0 +1,119 @@
+#include "daemon_process.h"
+
+#include "gypsumstep/logging/logging.h"
+
+#include <QCoreApplication>
+
+namespace gypsumstep::daemon {
+namespace {
+
+const logging::logger& log()
+{
+    static const logging::logger instance{"daemon"};
+    return instance;
+}
+
+platform::client_options platform_options(const settings::daemon_settings& settings)
+{
+    platform::client_options options;
+    options.url = settings.platform_url;
+    options.read_timeout = std::chrono::milliseconds{settings.platform_timeout_ms};
+    return options;
+}
+
+} // namespace
+
+daemon_process::daemon_process(settings::daemon_settings settings)
+    : m_settings{std::move(settings)}, m_platform{platform_options(m_settings), m_self.value()},
+      m_configuration{m_platform,
+                      [this](const fleet::document& document) { on_document(document); }},
+      m_operators{m_settings, m_configuration, m_registry, m_operator_views}, m_signals{[this] {
+          on_signal();
+      }}
+{
+    if (!m_operators.listen()) {
+        fail_to_listen(m_settings.operators);
+        return;
+    }
+    log().info("operators are served", {{"address", to_string(m_settings.operators)}});
+}
+
+void daemon_process::fail_to_listen(const settings::endpoint& where)
+{
+    log().error("cannot listen", {{"address", to_string(where)}});
+    QTimer::singleShot(0, this, [] { QCoreApplication::exit(exit_no_address); });
+}
+
+void daemon_process::on_document(const fleet::document& document)
+{
+    m_operators.set_document(document);
+    if (m_home == nullptr) {
+        start_duties(document);
+        return;
+    }
+    runtime::post(*m_home, [home = m_home, document] { home->apply(document); });
+}
+
+void daemon_process::start_duties(const fleet::document& document)
+{
+    m_home_thread.start([&] {
+        auto made = std::make_unique<home>(document, m_self, m_settings.platform_url, m_channels,
+                                           m_operator_views);
+        m_home = made.get();
+        return made;
+    });
+    m_front_thread.start([&] {
+        auto made = std::make_unique<caller_front>(m_settings, document, m_channels, m_metrics);
+        m_front = made.get();
+        return made;
+    });
+    wire_rings();
+    m_operators.set_home(m_home);
+    runtime::post(*m_home, [home = m_home] { home->begin(); });
+    bool listening = false;
+    QMetaObject::invokeMethod(
+        m_front, [&] { listening = m_front->listen(); }, Qt::BlockingQueuedConnection);
+    if (!listening) {
+        fail_to_listen(m_settings.callers);
+        return;
+    }
+    log().info("callers are served",
+               {{"daemon", m_settings.name}, {"address", to_string(m_settings.callers)}});
+}
+
+void daemon_process::wire_rings()
+{
+    // The duties exist and none has pushed anything yet.
+    const auto wake_home = [home = m_home] { runtime::post(*home, [home] { home->drain(); }); };
+    const auto wake_front = [front = m_front] {
+        runtime::post(*front, [front] { front->drain(); });
+    };
+    m_channels.requests.on_wake(wake_home);
+    m_channels.releases.on_wake(wake_home);
+    m_channels.answers.on_wake(wake_front);
+    m_channels.views.on_wake(wake_front);
+    m_operator_views.on_wake([operators = &m_operators] {
+        runtime::post(*operators, [operators] { operators->drain(); });
+    });
+}
+
+void daemon_process::on_signal()
+{
+    if (m_leaving || m_front == nullptr) {
+        log().info("stopping at once");
+        QCoreApplication::quit();
+        return;
+    }
+    m_leaving = true;
+    log().info("leaving: no new callers, statements in flight finish");
+    runtime::post(*m_front, [this, front = m_front] {
+        front->begin_shutdown([this] { runtime::post(*this, [] { QCoreApplication::quit(); }); });
+    });
+    const auto limit = std::chrono::ceil<std::chrono::milliseconds>(m_settings.shutdown_limit);
+    QTimer::singleShot(limit, this, [] {
+        log().warn("the shutdown limit passed with statements in flight");
+        QCoreApplication::quit();
+    });
+}
+
+} // namespace gypsumstep::daemon
--- a/packages/daemon/src/group_watch.cpp
+++ b/packages/daemon/src/group_watch.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 
 #include "gypsumstep/base/random.h"
+#include "gypsumstep/logging/logging.h"
 
 namespace gypsumstep::daemon {
 namespace {
@@ -10,6 +11,12 @@
 constexpr auto tick_interval = std::chrono::milliseconds{20};
 constexpr std::uint64_t grant_seed = 1;
 
+const logging::logger& log()
+{
+    static const logging::logger instance{"failover"};
+    return instance;
+}
+
 std::string call_text(const std::string& name, const std::vector<std::string>& arguments)
 {
     std::string text = "SELECT " + name + "(";
@@ -70,9 +77,21 @@
     step(failover::operator_order{order, target});
 }
 
-void group_watch::set_automation(bool enabled)
+void group_watch::apply(const fleet::document& document)
 {
-    step(failover::set_automation{enabled});
+    bool primary_leaves = false;
+    for (auto& [id, target] : m_servers) {
+        const bool leaving = document.servers[id.value()].leaving;
+        primary_leaves = primary_leaves || (leaving && m_watcher.known().names(id));
+        target.view.leaving = leaving;
+    }
+    step(failover::set_automation{document.groups[m_group.value()].automation});
+    if (primary_leaves) {
+        promote(std::nullopt, [](const failover::order_finished& order) {
+            log().info("the leaving primary handed over", {{"result", order.reason}});
+        });
+    }
+    publish();
 }
 
 void group_watch::step(const failover::event& what)
@@ -141,8 +160,11 @@
     // Every daemon homes all servers of its groups and votes for each by itself.
 }
 
-void group_watch::carry_out(const failover::announce& /*what*/)
+void group_watch::carry_out(const failover::announce& what)
 {
+    log().info("primary in office", {{"group", m_database},
+                                     {"term", what.primary.primary_term.value()},
+                                     {"server", m_servers.at(what.primary.server).server.name}});
     // Other daemons read the primary from the servers, all of which they home.
     publish();
 }
--- a/packages/daemon/src/group_watch.h
+++ b/packages/daemon/src/group_watch.h
@@ -34,8 +34,8 @@
     /// Makes \p target the primary on an operator's order.
     void promote(const std::optional<server_id>& target, order_handler on_finished);
 
-    /// Lets the watch act unasked, or not.
-    void set_automation(bool enabled);
+    /// Takes in a new version of the configuration with the same servers.
+    void apply(const fleet::document& document);
 
 private:
     struct watched_server {
--- a/packages/daemon/src/home.h
+++ b/packages/daemon/src/home.h
@@ -20,11 +20,17 @@
 public:
     /// \param self this run of the daemon
     home(fleet::document document, daemon_id self, const std::string& platform_url,
-         front_home_channels& channels);
+         front_home_channels& channels, view_channel& operator_views);
 
     /// Starts to watch the groups; the rings must be wired before.
     void begin();
 
+    /// Takes in a new version of the configuration: automation and leaving servers.
+    void apply(const fleet::document& document);
+
+    /// Makes \p server the primary of its group; \p done is called on the home's thread.
+    void promote(group_id group, server_id server, const group_watch::order_handler& done);
+
     /// Takes what waits in the rings.
     void drain();
 
@@ -35,6 +41,7 @@
     daemon_id m_self;
     platform::client m_platform;
     front_home_channels& m_channels;
+    view_channel& m_operator_views;
     std::map<server_id, std::unique_ptr<server_pool>> m_pools;
     std::vector<std::unique_ptr<group_watch>> m_watches;
 };
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,10 +1,8 @@
 // gypsumstepd: database proxy with session consistency.
-#include "caller_front.h"
-#include "configuration_loader.h"
-#include "home.h"
-#include "identity.h"
+#include "daemon_process.h"
 
-#include "gypsumstep/runtime/duty_thread.h"
+#include "gypsumstep/logging/logging.h"
+#include "gypsumstep/logging/redaction.h"
 #include "gypsumstep/settings/settings.h"
 
 #include <QCoreApplication>
@@ -13,7 +11,6 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
-#include <csignal>
 #include <cstdio>
 
 // NOLINTBEGIN: absl's macros define globals
@@ -26,61 +23,24 @@
 using namespace gypsumstep;
 
 constexpr int exit_invalid_settings = 2;
-constexpr int exit_no_address = 3;
 
-/// Starts the duties in the order of their dependence and joins them by rings.
-class daemon_process {
-public:
-    explicit daemon_process(settings::daemon_settings settings) : m_settings{std::move(settings)}
-    {
-        m_loader = std::make_unique<daemon::configuration_loader>(
-            m_settings.platform_url, [this](const fleet::document& document) { start(document); });
-    }
-
-private:
-    void start(const fleet::document& document)
-    {
-        daemon::home* home = nullptr;
-        daemon::caller_front* front = nullptr;
-        m_home_thread.start([&] {
-            auto made = std::make_unique<daemon::home>(document, m_self, m_settings.platform_url,
-                                                       m_channels);
-            home = made.get();
-            return made;
-        });
-        m_front_thread.start([&] {
-            auto made = std::make_unique<daemon::caller_front>(m_settings, document, m_channels);
-            front = made.get();
-            return made;
-        });
-        // Both duties exist and neither has pushed anything yet.
-        const auto wake_home = [home] { runtime::post(*home, [home] { home->drain(); }); };
-        const auto wake_front = [front] { runtime::post(*front, [front] { front->drain(); }); };
-        m_channels.requests.on_wake(wake_home);
-        m_channels.releases.on_wake(wake_home);
-        m_channels.answers.on_wake(wake_front);
-        m_channels.views.on_wake(wake_front);
-        runtime::post(*home, [home] { home->begin(); });
-        bool listening = false;
-        QMetaObject::invokeMethod(
-            front, [&] { listening = front->listen(); }, Qt::BlockingQueuedConnection);
-        if (!listening) {
-            std::fprintf(stderr, "cannot listen on %s\n", to_string(m_settings.callers).c_str());
-            QCoreApplication::exit(exit_no_address);
-            return;
+/// Starts logging; secrets of the settings never appear in it.
+bool start_logging(const settings::daemon_settings& settings)
+{
+    for (const auto* keys : {&settings.mesh_keys, &settings.operator_keys}) {
+        for (const std::string& key : *keys) {
+            logging::register_secret(key);
         }
-        std::printf("gypsumstepd %s serves callers on %s\n", m_settings.name.c_str(),
-                    to_string(m_settings.callers).c_str());
-        std::fflush(stdout);
     }
-
-    settings::daemon_settings m_settings;
-    daemon_id m_self{daemon::new_daemon_id()};
-    daemon::front_home_channels m_channels;
-    std::unique_ptr<daemon::configuration_loader> m_loader;
-    runtime::duty_thread m_home_thread{"home"};
-    runtime::duty_thread m_front_thread{"callers"};
-};
+    logging::options options;
+    options.threshold = logging::parse_level(settings.log_level).value_or(logging::level::info);
+    options.file = settings.log_file;
+    const auto started = logging::start(options);
+    if (started.has_error()) {
+        std::fprintf(stderr, "%s\n", started.error().message.c_str());
+    }
+    return started.has_value();
+}
 
 } // namespace
 
@@ -89,8 +49,7 @@
     absl::SetProgramUsageMessage("Database proxy with session consistency.\n"
                                  "  gypsumstepd --settings=FILE [--check_settings]");
     absl::ParseCommandLine(argc, argv);
-    const std::string file = absl::GetFlag(FLAGS_settings);
-    auto loaded = settings::load_file(file);
+    auto loaded = settings::load_file(absl::GetFlag(FLAGS_settings));
     for (const finding& problem : loaded.problems) {
         std::fprintf(stderr, "%s\n", to_string(problem).c_str());
     }
@@ -100,8 +59,15 @@
     if (absl::GetFlag(FLAGS_check_settings)) {
         return 0;
     }
+    if (!start_logging(*loaded.value)) {
+        return exit_invalid_settings;
+    }
     QCoreApplication application{argc, argv};
-    std::signal(SIGTERM, [](int) { QCoreApplication::quit(); });
-    daemon_process process{std::move(*loaded.value)};
-    return QCoreApplication::exec();
+    int code = 0;
+    {
+        daemon::daemon_process process{std::move(*loaded.value)};
+        code = QCoreApplication::exec();
+    }
+    logging::stop();
+    return code;
 }
--- /dev/null
+++ b/packages/daemon/src/operator_endpoint.cpp
@@ -0,0 +1,409 @@
+#include "operator_endpoint.h"
+
+#include "clock.h"
+
+#include "gypsumstep/logging/logging.h"
+#include "gypsumstep/runtime/duty_thread.h"
+
+#include <QHostAddress>
+#include <QHttpServerResponse>
+#include <QUrlQuery>
+
+#include <openssl/crypto.h>
+
+#include <memory>
+
+namespace gypsumstep::daemon {
+namespace {
+
+using nlohmann::json;
+using status_code = QHttpServerResponder::StatusCode;
+
+constexpr const char* program_version = "0.1.0";
+constexpr duration stale_configuration = 10s;
+constexpr std::string_view bearer = "Bearer ";
+
+QHttpServerResponse respond(status_code code, const json& body)
+{
+    return {"application/json", QByteArray::fromStdString(body.dump()), code};
+}
+
+json error_body(const char* code, const std::string& text)
+{
+    return {{"error", {{"code", code}, {"message", text}}}};
+}
+
+/// The error's code for programs, by its HTTP status.
+const char* error_name(status_code code)
+{
+    switch (code) {
+    case status_code::Unauthorized:
+        return "unknown_key";
+    case status_code::NotFound:
+        return "not_found";
+    case status_code::BadRequest:
+        return "malformed";
+    case status_code::Conflict:
+        return "refused";
+    case status_code::ServiceUnavailable:
+        return "not_done";
+    case status_code::NotImplemented:
+        return "not_implemented";
+    default:
+        return "outcome_unknown";
+    }
+}
+
+QHttpServerResponse refuse(status_code code, const std::string& text)
+{
+    return respond(code, error_body(error_name(code), text));
+}
+
+/// A reply that may be sent after the route's handler has returned.
+std::function<void(QHttpServerResponse)> make_reply(QHttpServerResponder&& responder)
+{
+    auto shared = std::make_shared<QHttpServerResponder>(std::move(responder));
+    return [shared](const QHttpServerResponse& response) {
+        shared->write(response.data(), response.mimeType(), response.statusCode());
+    };
+}
+
+bool equal_in_constant_time(const std::string& left, const std::string& right)
+{
+    return left.size() == right.size() &&
+           CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::int64_t milliseconds(duration value)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(value).count();
+}
+
+json describe(const findings& problems)
+{
+    json list = json::array();
+    for (const finding& each : problems) {
+        list.push_back({{"line", each.place.line},
+                        {"column", each.place.column},
+                        {"path", each.path},
+                        {"message", each.message}});
+    }
+    return list;
+}
+
+QHttpServerResponse describe_outcome(const config::submission_outcome& outcome)
+{
+    using config::submission_status;
+    json body{{"version", outcome.version.value()}};
+    switch (outcome.status) {
+    case submission_status::accepted:
+        return respond(status_code::Ok, body);
+    case submission_status::stale:
+        body.update(error_body("stale_base", "the base is not the version in force"));
+        for (const config::change_record& each : outcome.since) {
+            body["changes"].push_back(config::to_json(each));
+        }
+        return respond(status_code::Conflict, body);
+    case submission_status::invalid:
+        body.update(error_body("invalid", outcome.message));
+        body["findings"] = describe(outcome.problems);
+        return respond(status_code::UnprocessableEntity, body);
+    case submission_status::unavailable:
+        return refuse(status_code::ServiceUnavailable, "not done: " + outcome.message);
+    case submission_status::unknown:
+        break;
+    }
+    return refuse(status_code::GatewayTimeout, outcome.message);
+}
+
+std::uint64_t wall_clock_ms()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+}
+
+std::string random_patch_id()
+{
+    return "op-" + std::to_string(wall_clock_ms()) + "-" + std::to_string(std::rand()); // NOLINT
+}
+
+} // namespace
+
+operator_endpoint::operator_endpoint(const settings::daemon_settings& settings,
+                                     configuration_service& configuration,
+                                     metrics::registry& registry, view_channel& views)
+    : m_settings{settings}, m_configuration{configuration}, m_registry{registry}, m_views{views}
+{
+    add_read_routes();
+    add_order_routes();
+}
+
+bool operator_endpoint::listen()
+{
+    const QHostAddress address{QString::fromStdString(m_settings.operators.address)};
+    return m_server.listen(address, m_settings.operators.port) != 0;
+}
+
+void operator_endpoint::drain()
+{
+    m_views.drain([this](const routing::group_view& view) { m_groups[view.id] = view; });
+}
+
+bool operator_endpoint::is_authorized(const QHttpServerRequest& request) const
+{
+    const std::string given = request.value("Authorization").toStdString();
+    if (!given.starts_with(bearer)) {
+        return false;
+    }
+    bool matches = false;
+    for (const std::string& key : m_settings.operator_keys) {
+        // Every key is compared, so that the time tells nothing about which one fits.
+        matches = equal_in_constant_time(given.substr(bearer.size()), key) || matches;
+    }
+    return matches;
+}
+
+void operator_endpoint::add_read_routes()
+{
+    m_server.route("/v1/metrics", [this] {
+        return QHttpServerResponse{"text/plain; version=0.0.4",
+                                   QByteArray::fromStdString(m_registry.expose(steady_now()))};
+    });
+    m_server.route("/v1/status", [this](const QHttpServerRequest& request) {
+        return is_authorized(request) ? respond(status_code::Ok, status())
+                                      : refuse(status_code::Unauthorized, "unknown key");
+    });
+    m_server.route("/v1/config",
+                   [this](const QHttpServerRequest& request, QHttpServerResponder&& responder) {
+                       const reply answer = make_reply(std::move(responder));
+                       const QString version = request.query().queryItemValue("version");
+                       if (!is_authorized(request)) {
+                           answer(refuse(status_code::Unauthorized, "unknown key"));
+                       }
+                       else if (version.isEmpty()) {
+                           answer(respond(status_code::Ok, m_configuration.document()));
+                       }
+                       else {
+                           show_version(version.toULongLong(), answer);
+                       }
+                   });
+    m_server.route("/v1/config/history",
+                   [this](const QHttpServerRequest& request, QHttpServerResponder&& responder) {
+                       const reply answer = make_reply(std::move(responder));
+                       if (!is_authorized(request)) {
+                           answer(refuse(status_code::Unauthorized, "unknown key"));
+                           return;
+                       }
+                       show_history(answer);
+                   });
+    m_server.route("/v1/report", [] {
+        return refuse(status_code::NotImplemented, "this daemon does not make the report yet");
+    });
+}
+
+void operator_endpoint::add_order_routes()
+{
+    const auto add = [this](const char* path, auto handle) {
+        m_server.route(
+            path, QHttpServerRequest::Method::Post,
+            [this, handle](const QHttpServerRequest& request, QHttpServerResponder&& responder) {
+                const reply answer = make_reply(std::move(responder));
+                if (!is_authorized(request)) {
+                    answer(refuse(status_code::Unauthorized, "unknown key"));
+                    return;
+                }
+                const json body = json::parse(request.body().toStdString(), nullptr, false);
+                if (!body.is_object()) {
+                    answer(refuse(status_code::BadRequest, "not a JSON object"));
+                    return;
+                }
+                handle(body, answer);
+            });
+    };
+    add("/v1/config/patch", [this](const json& body, const reply& answer) { patch(body, answer); });
+    add("/v1/promote", [this](const json& body, const reply& answer) { promote(body, answer); });
+    add("/v1/drain",
+        [this](const json& body, const reply& answer) { patch_server_flag(body, answer); });
+    add("/v1/freeze",
+        [this](const json& body, const reply& answer) { patch_automation(body, answer); });
+    add("/v1/log-level", [](const json& body, const reply& answer) {
+        const auto level = logging::parse_level(body.value("level", std::string{}));
+        if (!level) {
+            answer(refuse(status_code::BadRequest, "unknown level"));
+            return;
+        }
+        logging::set_level(*level);
+        answer(respond(status_code::Ok, body));
+    });
+}
+
+operator_endpoint::json operator_endpoint::status() const
+{
+    json groups = json::array();
+    for (const auto& [id, view] : m_groups) {
+        groups.push_back(group_status(view));
+    }
+    return {{"daemon",
+             {{"name", m_settings.name},
+              {"failure_domain", m_settings.failure_domain},
+              {"version", program_version}}},
+            {"config",
+             {{"version", m_configuration.version().value()},
+              {"confirmed_ms_ago", milliseconds(m_configuration.confirmed_ago())}}},
+            {"groups", groups},
+            {"peers", json::array()},
+            {"alarms", alarms()}};
+}
+
+operator_endpoint::json operator_endpoint::group_status(const routing::group_view& view) const
+{
+    json servers = json::array();
+    std::string primary;
+    for (const routing::server_view& each : view.servers) {
+        const std::string& name = m_fleet.servers[each.id.value()].name;
+        const bool is_primary = view.primary == each.id;
+        primary = is_primary ? name : primary;
+        const bool age_known = each.current_at != routing::never;
+        std::string state = is_primary ? "primary" : "replica";
+        state = each.leaving ? "leaving" : state;
+        servers.push_back({{"name", name},
+                           {"state", each.reachable ? state : "unreachable"},
+                           {"applied", to_string(each.applied)},
+                           {"lag_ms", age_known ? json(milliseconds(steady_now() - each.current_at))
+                                                : json(nullptr)}});
+    }
+    return {{"name", m_fleet.groups[view.id.value()].name},
+            {"term", view.current_term.value()},
+            {"primary", primary},
+            {"servers", servers}};
+}
+
+operator_endpoint::json operator_endpoint::alarms() const
+{
+    json list = json::array();
+    if (m_configuration.confirmed_ago() > stale_configuration) {
+        list.push_back({{"code", "platform_down"},
+                        {"text", "the platform has not confirmed the configuration lately"}});
+    }
+    for (const auto& [id, view] : m_groups) {
+        bool has_primary = false;
+        for (const routing::server_view& each : view.servers) {
+            has_primary = has_primary || (view.primary == each.id && each.reachable);
+        }
+        if (!has_primary) {
+            list.push_back({{"code", "no_primary"},
+                            {"text", "group " + m_fleet.groups[id.value()].name +
+                                         " has no primary within reach"}});
+        }
+    }
+    return list;
+}
+
+void operator_endpoint::show_version(std::uint64_t version, const reply& answer)
+{
+    m_configuration.read_version(config_version{version}, [answer](const result<json>& document) {
+        answer(document.has_value() ? respond(status_code::Ok, document.value())
+                                    : refuse(status_code::NotFound, document.error().message));
+    });
+}
+
+void operator_endpoint::show_history(const reply& answer)
+{
+    m_configuration.read_history(
+        [answer](const result<std::vector<config::change_record>>& changes) {
+            if (changes.has_error()) {
+                return answer(refuse(status_code::ServiceUnavailable, changes.error().message));
+            }
+            json list = json::array();
+            for (const config::change_record& each : changes.value()) {
+                list.push_back(config::to_json(each));
+            }
+            answer(respond(status_code::Ok, {{"versions", list}}));
+        });
+}
+
+void operator_endpoint::submit(const config::patch& change, const reply& answer)
+{
+    if (!config::is_patch_id(change.id)) {
+        return answer(refuse(status_code::BadRequest, "\"id\" must be 1 to 64 letters or digits"));
+    }
+    m_configuration.submit(change, [answer](const config::submission_outcome& outcome) {
+        answer(describe_outcome(outcome));
+    });
+}
+
+void operator_endpoint::patch(const json& body, const reply& answer)
+{
+    config::patch change;
+    change.id = body.value("id", std::string{});
+    change.base = config_version{body.value("base", std::uint64_t{0})};
+    change.content = body.value("merge", json::object());
+    change.author = body.value("author", std::string{});
+    change.reason = body.value("reason", std::string{});
+    change.time_ms = wall_clock_ms();
+    return submit(change, answer);
+}
+
+void operator_endpoint::patch_server_flag(const json& body, const reply& answer)
+{
+    const std::string name = body.value("server", std::string{});
+    for (const fleet::server& each : m_fleet.servers) {
+        if (each.name != name) {
+            continue;
+        }
+        config::patch change;
+        change.id = random_patch_id();
+        change.base = m_configuration.version();
+        const std::string& group = m_fleet.groups[each.group.value()].name;
+        change.content["groups"][group]["servers"][name]["leaving"] = true;
+        change.author = "operator";
+        change.reason = "drain " + name;
+        change.time_ms = wall_clock_ms();
+        return submit(change, answer);
+    }
+    return answer(refuse(status_code::NotFound, "there is no server \"" + name + "\""));
+}
+
+void operator_endpoint::patch_automation(const json& body, const reply& answer)
+{
+    const std::string group = body.value("group", std::string{});
+    if (!m_configuration.document().value("groups", json::object()).contains(group)) {
+        return answer(refuse(status_code::NotFound, "there is no group \"" + group + "\""));
+    }
+    const bool frozen = body.value("frozen", true);
+    config::patch change;
+    change.id = random_patch_id();
+    change.base = m_configuration.version();
+    change.content["groups"][group]["automation"] = !frozen;
+    change.author = "operator";
+    change.reason = (frozen ? "freeze " : "release ") + group;
+    change.time_ms = wall_clock_ms();
+    return submit(change, answer);
+}
+
+void operator_endpoint::promote(const json& body, const reply& answer)
+{
+    const std::string group_name = body.value("group", std::string{});
+    const std::string server_name = body.value("server", std::string{});
+    for (const fleet::server& each : m_fleet.servers) {
+        if (each.name != server_name || m_fleet.groups[each.group.value()].name != group_name ||
+            m_home == nullptr) {
+            continue;
+        }
+        const auto finished = [this, answer](const failover::order_finished& order) {
+            runtime::post(*this, [answer, order] {
+                const bool done = order.outcome == failover::order_outcome::done;
+                const json text{{"term", order.primary.primary_term.value()}};
+                answer(done ? respond(status_code::Ok, text)
+                            : refuse(status_code::Conflict, order.reason));
+            });
+        };
+        runtime::post(*m_home, [home = m_home, group = each.group, server = each.id, finished] {
+            home->promote(group, server, finished);
+        });
+    }
+    return answer(refuse(status_code::NotFound, "there is no such group or server"));
+}
+
+} // namespace gypsumstep::daemon
--- a/packages/daemon/src/server_pool.cpp
+++ b/packages/daemon/src/server_pool.cpp
@@ -49,7 +49,7 @@
     m_expiry.start(expiry_interval);
 }
 
-void server_pool::execute(execute_request request)
+void server_pool::execute(const execute_request& request)
 {
     const bool bound = request.binding != binding_id{};
     if (bound && find_binding(request.binding) == nullptr) {
--- a/packages/daemon/src/server_pool.h
+++ b/packages/daemon/src/server_pool.h
@@ -32,7 +32,7 @@
                 const std::array<fleet::rank_target, rank_count>& ranks, answer_handler on_answer);
 
     /// Runs or queues a request; the handler is called exactly once for it.
-    void execute(execute_request request);
+    void execute(const execute_request& request);
 
     /// Rolls back and closes the binding's connection.
     void release(binding_id binding);
--- a/packages/routing/include/gypsumstep/routing/choose_server.h
+++ b/packages/routing/include/gypsumstep/routing/choose_server.h
@@ -14,14 +14,14 @@
 namespace gypsumstep::routing {
 
 /// A moment before every other: the age of the data is unknown.
-inline constexpr time_point never{duration{-(1LL << 60)}};
+inline constexpr time_point never{duration{-(1LL << 60U)}};
 
 /// What a daemon knows of one backend server.
 struct server_view {
     server_id id;
-    log_position applied;      ///< newest entry that its reads can see
-    time_point current_at;     ///< its data was at least as new as the primary's at this moment
-    duration expected_wait{0}; ///< round trip plus the queue in front of it
+    log_position applied;         ///< newest entry that its reads can see
+    time_point current_at{never}; ///< its data was at least as new as the primary's at this moment
+    duration expected_wait{0};    ///< round trip plus the queue in front of it
     bool reachable{false};
     bool leaving{false};
 
--- a/testing/demo/demo_client.cpp
+++ b/testing/demo/demo_client.cpp
@@ -2,15 +2,8 @@
 // reads it back through another with its session token.
 #include "pg_client.h"
 
-#include <QCoreApplication>
-#include <QEventLoop>
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
-
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <nlohmann/json.hpp>
-
 #include <cstdio>
 #include <memory>
 #include <string>
@@ -18,62 +11,13 @@
 #include <vector>
 
 // NOLINTBEGIN: absl's macros define globals
-ABSL_FLAG(std::string, platform, "127.0.0.1:8080", "ADDRESS:PORT of the platform stand-in");
 ABSL_FLAG(std::string, backends, "", "comma-separated ADDRESS:PORT of the three servers");
-ABSL_FLAG(std::string, daemons, "", "comma-separated ADDRESS:PORT of the daemons");
+ABSL_FLAG(std::string, daemons, "", "comma-separated ADDRESS:PORT; empty: only start the group");
 // NOLINTEND
 
 namespace {
 
 using namespace gypsumstep::demo;
-using nlohmann::json;
-
-/// Sends one PUT to the platform stand-in.
-bool put(const std::string& path, const std::string& body)
-{
-    QNetworkAccessManager network;
-    const QString url = QString::fromStdString("http://" + absl::GetFlag(FLAGS_platform) + path);
-    QNetworkRequest request{QUrl{url}};
-    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
-    for (int attempt = 0; attempt < max_attempts; ++attempt) {
-        QEventLoop loop;
-        const std::unique_ptr<QNetworkReply> reply{
-            network.put(request, QByteArray::fromStdString(body))};
-        QObject::connect(reply.get(), &QNetworkReply::finished, &loop, &QEventLoop::quit);
-        loop.exec();
-        if (reply->error() == QNetworkReply::NoError) {
-            return true;
-        }
-        std::this_thread::sleep_for(retry_interval);
-    }
-    return false;
-}
-
-json make_configuration(const std::vector<place>& backends)
-{
-    const std::vector<std::string> domains{"vejle-a", "roskilde-a", "odense-a"};
-    json document{{"version", 1}};
-    json& servers = document["groups"][group]["servers"];
-    document["groups"][group]["service"] = "ledger";
-    for (std::size_t i = 0; i < backends.size(); ++i) {
-        document["domains"][domains[i]] = {{"region", "denmark"}};
-        servers["ledger-1-" + std::string(1, static_cast<char>('a' + i))] = {
-            {"address", backends[i].address},
-            {"port", backends[i].port},
-            {"domain", domains[i]},
-            {"slots", 5},
-            {"connections", 30}};
-    }
-    const auto rank = [](int target_ms, double floor) {
-        return json{{"target_ms", target_ms},
-                    {"objective", 0.99},
-                    {"slot_floor", floor},
-                    {"queue_limit", 500}};
-    };
-    document["ranks"] = {
-        {"urgent", rank(100, 0.0)}, {"next", rank(500, 0.2)}, {"last", rank(2000, 0.1)}};
-    return document;
-}
 
 void start_group(const std::vector<place>& backends)
 {
@@ -130,15 +74,10 @@
 int main(int argc, char** argv)
 {
     absl::ParseCommandLine(argc, argv);
-    QCoreApplication application{argc, argv};
-    const auto backends = parse_places(absl::GetFlag(FLAGS_backends));
-    const auto daemons = parse_places(absl::GetFlag(FLAGS_daemons));
-    start_group(backends);
-    step(put("/objects/config-1", make_configuration(backends).dump()) &&
-             put("/table/config%2Fhead",
-                 json{{"expected_version", 0}, {"value", {{"version", 1}, {"object", "config-1"}}}}
-                     .dump()),
-         "the platform holds configuration 1");
-    write_and_read(daemons);
+    if (absl::GetFlag(FLAGS_daemons).empty()) {
+        start_group(parse_places(absl::GetFlag(FLAGS_backends)));
+        return 0;
+    }
+    write_and_read(parse_places(absl::GetFlag(FLAGS_daemons)));
     return 0;
 }
--- a/testing/standins/backend/main.cpp
+++ b/testing/standins/backend/main.cpp
@@ -56,6 +56,10 @@
             ++m_open;
             connect(socket, &QObject::destroyed, this, [this] { --m_open; });
             QTimer::singleShot(m_delay, socket, [this, socket] {
+                if (socket->state() != QAbstractSocket::ConnectedState) {
+                    socket->deleteLater();
+                    return;
+                }
                 new standin::client_connection{socket, m_parts}; // NOLINT: owns itself
                 Q_EMIT socket->readyRead();
             });
