--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -11,7 +11,9 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <algorithm>
 #include <cstdio>
+#include <string_view>
 
 // NOLINTBEGIN: absl's macros define globals
 ABSL_FLAG(std::string, settings, "", "file with the daemon's settings, JSON with comments");
@@ -24,6 +26,19 @@
 
 constexpr int exit_invalid_settings = 2;
 
+/// Absl names flags with underscores; "--check-settings" is accepted as well.
+void accept_dashes(int argc, char** argv)
+{
+    for (int i = 1; i < argc; ++i) {
+        const std::string_view argument{argv[i]};
+        if (!argument.starts_with("--")) {
+            continue;
+        }
+        const std::size_t end = std::min(argument.find('='), argument.size());
+        std::replace(argv[i] + 2, argv[i] + end, '-', '_');
+    }
+}
+
 /// Starts logging; secrets of the settings never appear in it.
 bool start_logging(const settings::daemon_settings& settings)
 {
@@ -47,7 +62,8 @@
 int main(int argc, char** argv)
 {
     absl::SetProgramUsageMessage("Database proxy with session consistency.\n"
-                                 "  gypsumstepd --settings=FILE [--check_settings]");
+                                 "  gypsumstepd --settings=FILE [--check-settings]");
+    accept_dashes(argc, argv);
     absl::ParseCommandLine(argc, argv);
     auto loaded = settings::load_file(absl::GetFlag(FLAGS_settings));
     for (const finding& problem : loaded.problems) {
--- a/packages/daemon/src/operator_endpoint.cpp
+++ b/packages/daemon/src/operator_endpoint.cpp
@@ -292,7 +292,7 @@
             has_primary = has_primary || (view.primary == each.id && each.reachable);
         }
         if (!has_primary) {
-            list.push_back({{"code", "no_primary"},
+            list.push_back({{"code", "group_without_primary"},
                             {"text", "group " + m_fleet.groups[id.value()].name +
                                          " has no primary within reach"}});
         }
--- a/packages/daemon/src/server_pool.cpp
+++ b/packages/daemon/src/server_pool.cpp
@@ -10,6 +10,7 @@
 constexpr const char* backend_user = "gypsumstep";
 constexpr const char* unique_violation = "23505";
 constexpr const char* no_writes_here = "25006";
+constexpr duration reconnect_pause = 50ms;
 constexpr auto expiry_interval = std::chrono::milliseconds{10};
 
 /// The proxy's own table of request keys, kept in the group beside the data.
@@ -101,8 +102,11 @@
 void server_pool::release(binding_id binding)
 {
     if (slot* bound = find_binding(binding)) {
+        if (bound->request) {
+            free_slot(*bound, true);
+            bound->request.reset();
+        }
         bound->connection->close();
-        bound->request.reset();
         remove_closed();
     }
 }
@@ -152,7 +156,7 @@
 void server_pool::open_connection()
 {
     // One at a time: a server that has just come back is not met by a burst.
-    if (m_connecting || m_slots.size() >= m_server.connections) {
+    if (m_connecting || m_slots.size() >= m_server.connections || steady_now() < m_connect_after) {
         return;
     }
     m_connecting = true;
@@ -168,6 +172,7 @@
         },
         [this, &opened] {
             m_connecting = false;
+            m_connect_after = steady_now() + reconnect_pause;
             if (opened.request) {
                 lose(opened, "the connection to the server was lost");
             }
@@ -239,7 +244,10 @@
     }
     const execute_request& request = *target.request;
     const bool keyed = request.is_write && !request.request_key.empty();
-    if (answer.sqlstate == no_writes_here && answer.state == pgwire::transaction_state::idle) {
+    // An error in front of everything else: no earlier statement of the same query has run.
+    const bool nothing_ran =
+        answer.messages.starts_with('E') && answer.state == pgwire::transaction_state::idle;
+    if (answer.sqlstate == no_writes_here && nothing_ran) {
         target.answer.outcome = execute_outcome::not_run;
         target.answer.reason = "the server takes no writes";
         finish(target);
@@ -361,6 +369,10 @@
     answer.reason = reason;
     answer.retry_after = retry_after;
     m_on_answer(std::move(answer));
+    if (request.binding != binding_id{}) {
+        // The session gives the transaction up, so its connection must not outlive it.
+        release(request.binding);
+    }
 }
 
 void server_pool::expire()
--- a/packages/daemon/src/server_pool.h
+++ b/packages/daemon/src/server_pool.h
@@ -89,6 +89,7 @@
     bool m_reachable{true};
     bool m_is_primary{false};
     bool m_connecting{false};
+    time_point m_connect_after{};
 };
 
 } // namespace gypsumstep::daemon
