--- a/testing/experiments/flood/fleet_model_impl.h
+++ b/testing/experiments/flood/fleet_model_impl.h
@@ -184,7 +184,7 @@
         const std::unordered_map<std::uint64_t, job_ptr> lost = std::move(each.jobs);
         for (const auto& [id, work] : lost) {
             // The entry daemon sees the connection close.
-            m_events.after(delay(*work, each), [this, work] { record(*work, false); });
+            m_events.after(delay(*work, each), [this, job = work] { record(*job, false); });
         }
         if (connects_directly()) {
             continue;
--- a/testing/experiments/flood/targets.cpp
+++ b/testing/experiments/flood/targets.cpp
@@ -77,7 +77,7 @@
         require("total goodput", flooded.during.goodput(), goodput_share);
     }
     if (recovery_time(flooded, unflooded) > highest_recovery) {
-        missed.push_back("recovery took longer than 5 s");
+        missed.emplace_back("recovery took longer than 5 s");
     }
     return missed;
 }
--- a/testing/experiments/flood/tests/test_flood.cpp
+++ b/testing/experiments/flood/tests/test_flood.cpp
@@ -17,7 +17,9 @@
             const outcome unflooded = run_unflooded(value);
             const outcome flooded = run(value);
             INFO(fleet.name << ", flood of rank " << index_of(flooding));
-            CHECK(missed_targets(value, flooded, unflooded) == std::vector<std::string>{});
+            const auto missed = missed_targets(value, flooded, unflooded);
+            CAPTURE(missed);
+            CHECK(missed.empty());
         }
     }
 }
