--- a/testing/consistency/include/gypsumstep/consistency/runs.h
+++ b/testing/consistency/include/gypsumstep/consistency/runs.h
@@ -7,6 +7,7 @@
 #include "gypsumstep/failover/types.h"
 
 #include <array>
+#include <optional>
 #include <vector>
 
 namespace gypsumstep::consistency {
@@ -51,6 +52,23 @@
 [[nodiscard]] run_report traced_run(std::uint64_t seed, rule_set rules,
                                     const std::vector<fault>& faults);
 
+/// How the primary fails in a measured failover, and how the platform does.
+struct measured_failure {
+    fault_kind primary{fault_kind::kill_server}; ///< kill_server, freeze_server, cut_domain
+    std::optional<fault_kind> platform;          ///< platform_down, platform_slow or nothing
+    failover::platform_policy policy{failover::platform_policy::proceed_by_grants};
+};
+
+/// The time without acknowledged writes around one failover: from the last of the old
+/// term to the first of a later one; nothing if there was none within 15 s.
+[[nodiscard]] std::optional<duration> write_gap(std::uint64_t seed, const measured_failure& what);
+
+/// The same for an operator's hand-over.
+[[nodiscard]] std::optional<duration> hand_over_gap(std::uint64_t seed);
+
+/// Primaries in 120 s with 5% loss and pauses of 200 ms; 1 means no needless failover.
+[[nodiscard]] std::uint64_t primaries_of_lossy_run(std::uint64_t seed);
+
 /// The faults of random_run().
 [[nodiscard]] std::vector<fault> faults_of(std::uint64_t seed);
 
