--- a/testing/consistency/include/gypsumstep/consistency/detail/daemon_impl.h
+++ b/testing/consistency/include/gypsumstep/consistency/detail/daemon_impl.h
@@ -191,7 +191,7 @@
     made.attempt =
         static_cast<std::uint32_t>(mix(id, key)) / attempts_per_request * attempts_per_request;
     made.deadline = deadline;
-    made.done = std::move(done);
+    made.done = done;
     m_budget.add_fresh_request();
     made.sent_in = sent_before.value_or(term{});
     enter(made, !sent_before             ? phase::fresh
--- a/testing/consistency/src/failover_gaps.cpp
+++ b/testing/consistency/src/failover_gaps.cpp
@@ -44,11 +44,12 @@
         const std::string word = name.substr(0, name.find(' '));
         print(word + ", platform up", [&](auto seed) { return write_gap(seed, {kind, {}, {}}); });
         for (const auto platform : {fault_kind::platform_down, fault_kind::platform_slow}) {
-            const std::string state = platform == fault_kind::platform_down ? "down" : "slow";
-            print(word + ", platform " + state + ", by grants", [&](auto seed) {
+            std::string prefix = word;
+            prefix += platform == fault_kind::platform_down ? ", platform down" : ", platform slow";
+            print(prefix + ", by grants", [&](auto seed) {
                 return write_gap(seed, {kind, platform, platform_policy::proceed_by_grants});
             });
-            print(word + ", platform " + state + ", waiting", [&](auto seed) {
+            print(prefix + ", waiting", [&](auto seed) {
                 return write_gap(seed, {kind, platform, platform_policy::wait});
             });
         }
