--- a/packages/daemon/src/daemon_process.cpp
+++ b/packages/daemon/src/daemon_process.cpp
@@ -4,6 +4,8 @@
 
 #include <QCoreApplication>
 
+#include <csignal>
+
 namespace gypsumstep::daemon {
 namespace {
 
@@ -27,9 +29,8 @@
     : m_settings{std::move(settings)}, m_platform{platform_options(m_settings), m_self.value()},
       m_configuration{m_platform,
                       [this](const fleet::document& document) { on_document(document); }},
-      m_operators{m_settings, m_configuration, m_registry, m_operator_views}, m_signals{[this] {
-          on_signal();
-      }}
+      m_operators{m_settings, m_configuration, m_registry, m_operator_views},
+      m_signals{{SIGTERM, SIGINT}, [this](int /*number*/) { on_signal(); }}
 {
     if (!m_operators.listen()) {
         fail_to_listen(m_settings.operators);
--- a/packages/daemon/src/daemon_process.h
+++ b/packages/daemon/src/daemon_process.h
@@ -5,10 +5,10 @@
 #include "caller_front.h"
 #include "configuration_service.h"
 #include "daemon_metrics.h"
+#include "gypsumstep/runtime/signal_watch.h"
 #include "home.h"
 #include "identity.h"
 #include "operator_endpoint.h"
-#include "signal_watch.h"
 
 #include "gypsumstep/runtime/duty_thread.h"
 
@@ -45,7 +45,7 @@
     home* m_home{nullptr};
     caller_front* m_front{nullptr};
     bool m_leaving{false};
-    signal_watch m_signals;
+    runtime::signal_watch m_signals;
 };
 
 } // namespace gypsumstep::daemon
--- /dev/null
+++ b/packages/directory/tests/test_route_table.cpp
@@ -0,0 +1,44 @@
+// Tests of putting configurations in force.
+#include "gypsumstep/directory/route_table.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumstep;
+using namespace gypsumstep::directory;
+
+namespace {
+
+configuration make_configuration(std::uint64_t version, const std::string& database)
+{
+    configuration made;
+    made.version = config_version{version};
+    route only;
+    only.database = database;
+    only.service = "ledger";
+    only.max_staleness = 1500ms;
+    made.routes.push_back(only);
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("an older configuration is never put in force")
+{
+    route_table table;
+    CHECK_FALSE(table.loaded());
+    CHECK(table.apply(make_configuration(7, "orders")));
+    CHECK_FALSE(table.apply(make_configuration(6, "old")));
+    CHECK_FALSE(table.apply(make_configuration(7, "same")));
+    CHECK(table.find("orders") != nullptr);
+    CHECK(table.find("old") == nullptr);
+    CHECK(table.max_staleness() == 1500ms);
+}
+
+TEST_CASE("a removed route is gone with the version that removed it")
+{
+    route_table table;
+    table.apply(make_configuration(7, "orders"));
+    table.apply(make_configuration(12, "drawings"));
+    CHECK(table.find("orders") == nullptr);
+    CHECK(table.find("drawings") != nullptr);
+}
--- /dev/null
+++ b/packages/dispatch/include/gypsumstep/dispatch/server_choice.h
@@ -0,0 +1,55 @@
+/// \file
+/// Chooses the server that runs a read.
+#pragma once
+
+#include "gypsumstep/base/ids.h"
+#include "gypsumstep/base/position.h"
+#include "gypsumstep/base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace gypsumstep::dispatch {
+
+/// How far a server is from this daemon.
+enum class proximity : std::uint8_t { same_domain, same_region, remote };
+
+/// Remembers which positions a replica did not have yet.
+class lag_memory {
+public:
+    /// The server refused a read since its log lacks \p wanted.
+    void refused(const log_position& wanted, time_point now);
+
+    /// The server ran a read that had to see \p wanted.
+    void served(const log_position& wanted);
+
+    /// True if the server would probably refuse \p wanted again.
+    [[nodiscard]] bool expects_refusal(const log_position& wanted, time_point now) const;
+
+private:
+    std::optional<log_position> m_refused;
+    time_point m_try_again{};
+    duration m_wait{0};
+};
+
+/// One server of the group, as a choice.
+struct candidate {
+    server_id id;
+    bool is_primary{false};
+    proximity distance{proximity::remote};
+    std::uint32_t in_flight{0};   ///< statements of this daemon that it runs
+    std::uint32_t limit{0};       ///< most statements of this daemon at a time
+    duration usual_time{0};       ///< recent mean from sending a statement to its answer
+    bool needs_connection{false}; ///< all open connections are in use
+    bool expects_lag_refusal{false};
+
+    friend bool operator==(const candidate&, const candidate&) = default;
+};
+
+/// The server that is expected to answer a read first; nothing if all are at their limit.
+///
+/// The primary is a last resort, since only it can run writes.
+[[nodiscard]] std::optional<server_id> choose_for_read(std::span<const candidate> candidates);
+
+} // namespace gypsumstep::dispatch
--- /dev/null
+++ b/packages/dispatch/include/gypsumstep/dispatch/wait_estimate.h
@@ -0,0 +1,50 @@
+/// \file
+/// How long new work would wait, and whether it is refused at once instead.
+#pragma once
+
+#include "gypsumstep/base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace gypsumstep::dispatch {
+
+/// Follows how long statements occupy a place at a server.
+class wait_estimate {
+public:
+    /// A statement left its server after \p occupied.
+    void completed(duration occupied);
+
+    /// Mean time that a statement occupies a place.
+    [[nodiscard]] duration mean() const { return m_mean; }
+
+    /// The wait behind \p ahead statements that share \p places.
+    [[nodiscard]] duration expected_wait(std::size_t ahead, std::uint32_t places) const;
+
+private:
+    duration m_mean{30ms}; ///< a usual statement, until the first one was measured
+};
+
+/// What decides whether a statement is taken into the queue.
+struct admission_input {
+    duration expected_wait{0};
+    duration patience{0};        ///< longest useful wait
+    bool server_available{true}; ///< false while nothing can run it
+    duration available_in{0};    ///< expected end of that, if not available
+
+    friend bool operator==(const admission_input&, const admission_input&) = default;
+};
+
+/// A refusal before anything ran.
+struct refusal {
+    duration retry_after{0}; ///< when a new attempt is expected to be served
+
+    friend bool operator==(const refusal&, const refusal&) = default;
+};
+
+/// Nothing if the statement is taken in; else it is refused at once, since it would
+/// wait longer than it can.
+[[nodiscard]] std::optional<refusal> refuse_now(const admission_input& input);
+
+} // namespace gypsumstep::dispatch
--- /dev/null
+++ b/packages/dispatch/src/server_choice.cpp
@@ -0,0 +1,91 @@
+#include "gypsumstep/dispatch/server_choice.h"
+
+#include <algorithm>
+
+namespace gypsumstep::dispatch {
+namespace {
+
+/// First pause before a replica that lagged is asked for the same position again: about
+/// the usual replication delay.
+constexpr duration first_lag_wait = 10ms;
+
+/// Longest such pause; bounds how long a replica that caught up stays unused.
+constexpr duration longest_lag_wait = 320ms;
+
+/// Bytes between regions are paid for; a remote replica has to be this much faster.
+constexpr duration remote_penalty = 30ms;
+
+/// The same between failure domains of one region.
+constexpr duration region_penalty = 2ms;
+
+/// A replica is preferred unless the primary is this much faster.
+constexpr duration primary_penalty = 150ms;
+
+/// Cost of opening a connection first.
+constexpr duration connection_penalty = 20ms;
+
+duration expected_time(const candidate& server)
+{
+    duration expected = server.usual_time;
+    // Work of this daemon that is already there competes for the same slots.
+    expected += server.usual_time * server.in_flight / std::max(server.limit, 1U);
+    switch (server.distance) {
+    case proximity::same_domain:
+        break;
+    case proximity::same_region:
+        expected += region_penalty;
+        break;
+    case proximity::remote:
+        expected += remote_penalty;
+        break;
+    }
+    if (server.is_primary) {
+        expected += primary_penalty;
+    }
+    if (server.needs_connection) {
+        expected += connection_penalty;
+    }
+    return expected;
+}
+
+} // namespace
+
+void lag_memory::refused(const log_position& wanted, time_point now)
+{
+    m_wait = m_refused ? std::min(m_wait * 2, longest_lag_wait) : first_lag_wait;
+    if (!m_refused || wanted < *m_refused) {
+        m_refused = wanted;
+    }
+    m_try_again = now + m_wait;
+}
+
+void lag_memory::served(const log_position& wanted)
+{
+    if (m_refused && wanted >= *m_refused) {
+        m_refused.reset();
+    }
+}
+
+bool lag_memory::expects_refusal(const log_position& wanted, time_point now) const
+{
+    return m_refused && wanted >= *m_refused && now < m_try_again;
+}
+
+std::optional<server_id> choose_for_read(std::span<const candidate> candidates)
+{
+    std::optional<server_id> best;
+    duration best_time{0};
+    for (const candidate& server : candidates) {
+        if (server.in_flight >= server.limit || server.expects_lag_refusal) {
+            continue;
+        }
+        const duration time = expected_time(server);
+        if (!best || time < best_time) {
+            best = server.id;
+            best_time = time;
+        }
+    }
+    return best;
+}
+
+} // namespace gypsumstep::dispatch
--- /dev/null
+++ b/packages/dispatch/tests/test_server_choice.cpp
@@ -0,0 +1,107 @@
+// Tests of choosing the server of a read.
+#include "gypsumstep/dispatch/server_choice.h"
+#include "gypsumstep/dispatch/wait_estimate.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace gypsumstep;
+using namespace gypsumstep::dispatch;
+
+namespace {
+
+const time_point start{100s};
+
+candidate make_candidate(std::uint32_t id, proximity distance)
+{
+    candidate made;
+    made.id = server_id{id};
+    made.distance = distance;
+    made.limit = 3;
+    made.usual_time = 30ms;
+    return made;
+}
+
+log_position at(std::uint64_t index)
+{
+    return {term{1}, index};
+}
+
+} // namespace
+
+TEST_CASE("a replica is preferred to the primary")
+{
+    std::vector<candidate> servers{make_candidate(1, proximity::same_domain),
+                                   make_candidate(2, proximity::remote)};
+    servers[0].is_primary = true;
+    CHECK(choose_for_read(servers) == server_id{2});
+}
+
+TEST_CASE("the primary serves reads when no replica has room")
+{
+    std::vector<candidate> servers{make_candidate(1, proximity::same_domain),
+                                   make_candidate(2, proximity::remote)};
+    servers[0].is_primary = true;
+    servers[1].in_flight = 3;
+    CHECK(choose_for_read(servers) == server_id{1});
+    servers[1].in_flight = 0;
+    servers[1].expects_lag_refusal = true;
+    CHECK(choose_for_read(servers) == server_id{1});
+}
+
+TEST_CASE("a near replica is preferred until it is much slower")
+{
+    std::vector<candidate> servers{make_candidate(1, proximity::same_domain),
+                                   make_candidate(2, proximity::remote)};
+    CHECK(choose_for_read(servers) == server_id{1});
+    servers[0].usual_time = 200ms;
+    CHECK(choose_for_read(servers) == server_id{2});
+}
+
+TEST_CASE("nothing is chosen while all servers are at their limit")
+{
+    std::vector<candidate> servers{make_candidate(1, proximity::same_domain)};
+    servers[0].in_flight = 3;
+    CHECK_FALSE(choose_for_read(servers));
+}
+
+TEST_CASE("a replica that lagged is not asked for the same position at once")
+{
+    lag_memory lag;
+    CHECK_FALSE(lag.expects_refusal(at(10), start));
+    lag.refused(at(10), start);
+    CHECK(lag.expects_refusal(at(10), start + 1ms));
+    CHECK(lag.expects_refusal(at(11), start + 1ms));
+    CHECK_FALSE(lag.expects_refusal(at(9), start + 1ms));
+    CHECK_FALSE(lag.expects_refusal(at(10), start + 1s));
+    lag.served(at(11));
+    CHECK_FALSE(lag.expects_refusal(at(11), start + 1ms));
+}
+
+TEST_CASE("a statement that would wait longer than it can is refused with a time to return")
+{
+    admission_input input;
+    input.patience = 900ms;
+    input.expected_wait = 800ms;
+    CHECK_FALSE(refuse_now(input));
+    input.expected_wait = 1500ms;
+    const auto refused = refuse_now(input);
+    REQUIRE(refused);
+    CHECK(refused->retry_after == 600ms);
+    input.expected_wait = 0ms;
+    input.server_available = false;
+    input.available_in = 2s;
+    CHECK(refuse_now(input)->retry_after == 1100ms);
+}
+
+TEST_CASE("the expected wait follows the measured time of statements")
+{
+    wait_estimate estimate;
+    for (int i = 0; i < 200; ++i) {
+        estimate.completed(60ms);
+    }
+    const duration wait = estimate.expected_wait(10, 5);
+    CHECK(wait > 110ms);
+    CHECK(wait <= 120ms);
+}
--- /dev/null
+++ b/packages/edge/src/edge_metrics.h
@@ -0,0 +1,40 @@
+/// \file
+/// Counters and latencies of the daemon on the users' platform.
+#pragma once
+
+#include "gypsumstep/metrics/registry.h"
+#include "gypsumstep/proxy/actions.h"
+#include "gypsumstep/proxy/proxy.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace gypsumstep::edge {
+
+/// Keeps the metrics; made once for a process.
+class edge_metrics {
+public:
+    explicit edge_metrics(metrics::registry& registry);
+
+    void count(const proxy::statement_finished& finished);
+    void count(const proxy::decision& decided);
+    void set(const proxy::proxy_numbers& numbers);
+
+private:
+    struct outcome_metrics {
+        metrics::counter* total{nullptr};
+        metrics::histogram* latency{nullptr};
+    };
+
+    metrics::registry& m_registry;
+    std::map<std::pair<directory::consistency, statement::error_class>, outcome_metrics> m_outcomes;
+    std::map<const char*, metrics::counter*> m_decisions;
+    metrics::counter& m_on_replica;
+    metrics::gauge& m_sessions;
+    metrics::gauge& m_links;
+    metrics::gauge& m_waiting;
+    metrics::gauge& m_running;
+};
+
+} // namespace gypsumstep::edge
--- /dev/null
+++ b/packages/edge/src/edge_process.cpp
@@ -0,0 +1,270 @@
+#include "edge_process.h"
+
+#include "boot_clock.h"
+
+#include "gypsumstep/logging/logging.h"
+
+#include <QCoreApplication>
+
+#include <csignal>
+#include <functional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace gypsumstep::edge {
+namespace {
+
+/// Time between two checks of limits. Shorter than the shortest limit by a factor of ten.
+constexpr std::chrono::milliseconds tick_interval{20};
+
+constexpr std::uint32_t status_ok = 200;
+constexpr std::uint32_t status_not_found = 404;
+constexpr std::uint32_t status_unavailable = 503;
+
+const logging::logger& log()
+{
+    static const logging::logger instance{"edge"};
+    return instance;
+}
+
+const logging::logger& decision_log()
+{
+    static const logging::logger instance{"proxy"};
+    return instance;
+}
+
+proxy::options proxy_options(const adapter::node_settings& settings)
+{
+    proxy::options options;
+    options.daemon = settings.name;
+    options.domain = settings.domain;
+    options.regions = settings.regions;
+    options.seed = std::hash<std::string>{}(settings.name) ^
+                   static_cast<std::uint64_t>(boot_now().time_since_epoch().count());
+    options.shutdown_grace = settings.shutdown_grace;
+    return options;
+}
+
+logging::level level_of(proxy::importance value)
+{
+    return value == proxy::importance::failure ? logging::level::warn : logging::level::info;
+}
+
+} // namespace
+
+edge_process::edge_process(adapter::node_settings settings, std::string settings_file,
+                           line_logger& output)
+    : m_settings{std::move(settings)}, m_settings_file{std::move(settings_file)}, m_output{output},
+      m_metrics{m_registry}, m_proxy{proxy_options(m_settings)},
+      m_clients{{
+          [this](session_id id) { m_proxy.on_client_connected(id, boot_now()); },
+          [this](session_id id, const std::string& database) {
+              m_proxy.on_client_start(id, database, boot_now());
+              run_actions();
+          },
+          [this](session_id id, statement::statement request) {
+              m_proxy.on_client_statement(id, std::move(request), boot_now());
+              run_actions();
+          },
+          [this](session_id id) {
+              m_proxy.on_client_closed(id, boot_now());
+              run_actions();
+          },
+          [](session_id id, const std::string& cause) {
+              log().warn("closed a client's connection",
+                         {{"session", id.value()}, {"cause", cause}});
+          },
+      }},
+      m_servers{m_settings.name,
+                {
+                    [this](proxy::link_id id, statement::answer content) {
+                        m_proxy.on_link_answer(id, std::move(content), boot_now());
+                        run_actions();
+                    },
+                    [this](proxy::link_id id, const statement::server_status& status) {
+                        m_proxy.on_link_status(id, status, boot_now());
+                        run_actions();
+                    },
+                    [this](proxy::link_id id, const std::string& cause) {
+                        m_proxy.on_link_closed(id, cause, boot_now());
+                        run_actions();
+                    },
+                }},
+      m_store{m_settings.store,
+              std::hash<std::string>{}(m_settings.name),
+              {
+                  [this](directory::configuration next) {
+                      m_proxy.on_configuration(std::move(next), boot_now());
+                      run_actions();
+                  },
+                  [this](const std::vector<directory::server_entry>& listing) {
+                      m_proxy.on_servers(listing, boot_now());
+                      run_actions();
+                  },
+                  [this] { return m_proxy.wants_fresh_servers(); },
+                  [this](promotion::store_time now) { m_promotions.set_store_clock(now); },
+              }},
+      m_promotions{m_settings, m_proxy, [this] { run_actions(); }},
+      m_readiness{[this](const std::string& path) { return respond_readiness(path); }},
+      m_metrics_endpoint{[this](const std::string& /*path*/) { return respond_metrics(); }},
+      m_signals{{SIGTERM, SIGINT, SIGHUP}, [this](int number) { on_signal(number); }}
+{
+    connect(&m_tick, &QTimer::timeout, this, [this] {
+        m_proxy.on_tick(boot_now());
+        run_actions();
+        m_output.flush();
+    });
+}
+
+bool edge_process::start()
+{
+    if (!m_clients.listen(m_settings.clients.host, m_settings.clients.port) ||
+        !m_readiness.listen(m_settings.readiness.host, m_settings.readiness.port)) {
+        log().error("cannot listen",
+                    {{"clients", m_settings.clients.host},
+                     {"port", static_cast<std::uint64_t>(m_settings.clients.port)}});
+        return false;
+    }
+    if (m_settings.first_internal_port &&
+        !m_metrics_endpoint.listen(m_settings.clients.host, *m_settings.first_internal_port)) {
+        log().warn("metrics are not served: their port is in use");
+    }
+    log().info("started", {{"daemon", m_settings.name},
+                           {"domain", m_settings.domain},
+                           {"store", m_settings.store.host}});
+    m_store.start();
+    m_tick.start(tick_interval);
+    return true;
+}
+
+void edge_process::run_actions()
+{
+    if (m_running_actions) {
+        return;
+    }
+    // Carrying out an action may cause the next ones.
+    m_running_actions = true;
+    for (std::vector<proxy::action> next = m_proxy.take_actions(); !next.empty();
+         next = m_proxy.take_actions()) {
+        for (proxy::action& each : next) {
+            std::visit([this](auto& one) { run(one); }, each);
+        }
+    }
+    m_running_actions = false;
+}
+
+void edge_process::run(proxy::send_answer& next)
+{
+    m_clients.send_answer(next.session, next.content);
+}
+
+void edge_process::run(proxy::send_start_answer& next)
+{
+    m_clients.send_start_answer(next.session, next.content);
+}
+
+void edge_process::run(proxy::close_session& next)
+{
+    m_clients.close(next.session);
+}
+
+void edge_process::run(proxy::open_link& next)
+{
+    m_servers.open(next);
+}
+
+void edge_process::run(proxy::send_command& next)
+{
+    m_servers.send(next.link, next.command);
+}
+
+void edge_process::run(proxy::close_link& next)
+{
+    m_servers.close(next.link);
+}
+
+void edge_process::run(proxy::promotion_step& next)
+{
+    m_promotions.run(next);
+}
+
+void edge_process::run(proxy::refresh_servers& /*next*/)
+{
+    m_store.refresh_servers();
+}
+
+void edge_process::run(proxy::decision& next)
+{
+    m_metrics.count(next);
+    if (!logging::logger::enabled(level_of(next.level))) {
+        return;
+    }
+    std::vector<logging::field> fields;
+    fields.reserve(next.inputs.size() + 1);
+    if (!next.request.empty()) {
+        fields.push_back({"request_id", std::string_view{next.request}});
+    }
+    for (const auto& [key, value] : next.inputs) {
+        fields.push_back({key, std::string_view{value}});
+    }
+    decision_log().log(level_of(next.level), next.what, fields);
+}
+
+void edge_process::run(proxy::statement_finished& next)
+{
+    m_metrics.count(next);
+}
+
+void edge_process::run(proxy::shutdown_complete& /*next*/)
+{
+    log().info("stopped: no client is connected any more, or the grace period is over");
+    QCoreApplication::quit();
+}
+
+void edge_process::on_signal(int number)
+{
+    if (number == SIGHUP) {
+        reload();
+        return;
+    }
+    log().info("stopping: transactions end, idle sessions are closed bit by bit",
+               {{"signal", static_cast<std::int64_t>(number)}});
+    m_proxy.begin_shutdown(boot_now());
+    run_actions();
+}
+
+void edge_process::reload()
+{
+    const adapter::loaded_settings loaded = adapter::load_settings(m_settings_file);
+    for (const finding& problem : loaded.problems) {
+        log().warn("kept the settings in force: the file has a problem",
+                   {{"finding", to_string(problem)}});
+    }
+    const bool changed = loaded.value && !(*loaded.value == m_settings);
+    log().info("read the settings again",
+               {{"changed", changed}, {"in_force_after_restart", changed}});
+    m_store.reload();
+}
+
+adapter::http_response edge_process::respond_readiness(const std::string& path)
+{
+    if (path != adapter::readiness_path) {
+        return {status_not_found, "not found\n"};
+    }
+    const bool ready = m_proxy.ready();
+    if (ready != m_was_ready) {
+        m_was_ready = ready;
+        log().info(ready ? "ready for clients" : "not ready for clients");
+    }
+    return ready ? adapter::http_response{status_ok, "ready\n"}
+                 : adapter::http_response{status_unavailable, "not ready\n"};
+}
+
+adapter::http_response edge_process::respond_metrics()
+{
+    m_metrics.set(m_proxy.numbers());
+    return {status_ok, m_registry.expose(boot_now())};
+}
+
+} // namespace gypsumstep::edge
--- /dev/null
+++ b/packages/edge/src/edge_process.h
@@ -0,0 +1,72 @@
+/// \file
+/// The daemon on the users' platform.
+#pragma once
+
+#include "client_listener.h"
+#include "edge_metrics.h"
+#include "http_responder.h"
+#include "line_logger.h"
+#include "promotion_caller.h"
+#include "server_links.h"
+#include "store_follower.h"
+
+#include "gypsumstep/adapter/node_settings.h"
+#include "gypsumstep/metrics/registry.h"
+#include "gypsumstep/proxy/proxy.h"
+#include "gypsumstep/runtime/signal_watch.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <optional>
+#include <string>
+
+namespace gypsumstep::edge {
+
+/// Joins the proxy with sockets, the store, signals and the clock, in one event loop.
+class edge_process : public QObject {
+public:
+    /// \param settings_file read again on SIGHUP
+    /// \param output flushed with every tick
+    edge_process(adapter::node_settings settings, std::string settings_file, line_logger& output);
+
+    /// Listens and starts to follow the store; false if an address cannot be used.
+    [[nodiscard]] bool start();
+
+private:
+    void run_actions();
+    void run(proxy::send_answer& next);
+    void run(proxy::send_start_answer& next);
+    void run(proxy::close_session& next);
+    void run(proxy::open_link& next);
+    void run(proxy::send_command& next);
+    void run(proxy::close_link& next);
+    void run(proxy::promotion_step& next);
+    void run(proxy::refresh_servers& next);
+    void run(proxy::decision& next);
+    void run(proxy::statement_finished& next);
+    void run(proxy::shutdown_complete& next);
+    void on_signal(int number);
+    void reload();
+    adapter::http_response respond_readiness(const std::string& path);
+    adapter::http_response respond_metrics();
+
+    adapter::node_settings m_settings;
+    std::string m_settings_file;
+    line_logger& m_output;
+    metrics::registry m_registry;
+    edge_metrics m_metrics;
+    proxy::proxy m_proxy;
+    client_listener m_clients;
+    server_links m_servers;
+    store_follower m_store;
+    promotion_caller m_promotions;
+    http_responder m_readiness;
+    http_responder m_metrics_endpoint;
+    runtime::signal_watch m_signals;
+    QTimer m_tick;
+    bool m_was_ready{false};
+    bool m_running_actions{false};
+};
+
+} // namespace gypsumstep::edge
--- /dev/null
+++ b/packages/edge/src/http_responder.h
@@ -0,0 +1,32 @@
+/// \file
+/// Answers short HTTP requests: readiness and metrics.
+#pragma once
+
+#include "gypsumstep/adapter/store_calls.h"
+
+#include <QTcpServer>
+
+#include <functional>
+#include <string>
+
+namespace gypsumstep::edge {
+
+/// Serves GET requests on one address.
+class http_responder : public QObject {
+public:
+    /// Makes the response for a path.
+    using handler = std::function<adapter::http_response(const std::string& path)>;
+
+    explicit http_responder(handler respond);
+
+    /// Starts to listen; false if the address cannot be used.
+    [[nodiscard]] bool listen(const std::string& host, std::uint16_t port);
+
+private:
+    void accept();
+
+    handler m_respond;
+    QTcpServer m_server;
+};
+
+} // namespace gypsumstep::edge
--- /dev/null
+++ b/packages/edge/src/line_logger.cpp
@@ -0,0 +1,51 @@
+#include "line_logger.h"
+
+#include <algorithm>
+#include <climits>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace gypsumstep::edge {
+namespace {
+
+/// Lines kept for a reader that is slow, in bytes.
+constexpr std::size_t max_buffered = 256U << 10U;
+
+} // namespace
+
+void line_logger::add(std::string_view line)
+{
+    if (m_buffer.size() + line.size() + 1 > max_buffered) {
+        ++m_dropped;
+        return;
+    }
+    if (m_dropped != m_reported_dropped) {
+        m_buffer += R"({"level":"warn","component":"log","message":"dropped lines","total":)" +
+                    std::to_string(m_dropped) + "}\n";
+        m_reported_dropped = m_dropped;
+    }
+    m_buffer.append(line);
+    m_buffer.push_back('\n');
+}
+
+void line_logger::flush()
+{
+    std::size_t written = 0;
+    while (written < m_buffer.size()) {
+        pollfd ready{m_descriptor, POLLOUT, 0};
+        if (::poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0) {
+            break;
+        }
+        // A pipe that reports room takes this many bytes without blocking.
+        const std::size_t size = std::min<std::size_t>(m_buffer.size() - written, PIPE_BUF);
+        const ssize_t done = ::write(m_descriptor, m_buffer.data() + written, size);
+        if (done <= 0) {
+            break;
+        }
+        written += static_cast<std::size_t>(done);
+    }
+    m_buffer.erase(0, written);
+}
+
+} // namespace gypsumstep::edge
--- /dev/null
+++ b/packages/edge/src/promotion_caller.h
@@ -0,0 +1,43 @@
+/// \file
+/// Carries out the steps of promotions that need the store or the platform.
+#pragma once
+
+#include "http_caller.h"
+
+#include "gypsumstep/adapter/node_settings.h"
+#include "gypsumstep/proxy/actions.h"
+#include "gypsumstep/proxy/proxy.h"
+
+#include <functional>
+#include <string>
+
+namespace gypsumstep::edge {
+
+/// Calls the store and the platform and hands the outcomes to the proxy.
+class promotion_caller : public QObject {
+public:
+    /// \param after_event called after the proxy was told something
+    promotion_caller(const adapter::node_settings& settings, proxy::proxy& told,
+                     std::function<void()> after_event);
+
+    void run(const proxy::promotion_step& wanted);
+
+    /// Keeps the store's clock, as an answer told it just now.
+    void set_store_clock(promotion::store_time now);
+
+private:
+    [[nodiscard]] promotion::store_time store_now() const;
+    void read_state(const std::string& service);
+    void report_suspicion(const std::string& service, const std::string& primary);
+    void write_claim(const std::string& service, const promotion::write_claim& wanted);
+    void order(const std::string& service, const promotion::order_promotion& wanted);
+
+    std::string m_daemon;
+    proxy::proxy& m_proxy;
+    std::function<void()> m_after_event;
+    http_caller m_store;
+    http_caller m_platform;
+    promotion::store_time m_clock_offset{0}; ///< the store's clock less this VM's
+};
+
+} // namespace gypsumstep::edge
--- /dev/null
+++ b/packages/edge/src/run_edge.cpp
@@ -0,0 +1,67 @@
+#include "run_edge.h"
+
+#include "edge_process.h"
+#include "line_logger.h"
+
+#include "gypsumstep/adapter/node_settings.h"
+#include "gypsumstep/logging/logging.h"
+
+#include <QCoreApplication>
+
+#include <cstdio>
+#include <utility>
+
+#include <unistd.h>
+
+namespace gypsumstep::edge {
+namespace {
+
+constexpr int exit_invalid_settings = 2;
+constexpr int exit_no_address = 3;
+
+bool start_logging(line_logger& output)
+{
+    logging::options options;
+    options.threshold = logging::level::info;
+    options.sink = [&output](std::string_view line) { output.add(line); };
+    const auto started = logging::start(options);
+    if (started.has_error()) {
+        std::fprintf(stderr, "%s\n", started.error().message.c_str());
+    }
+    return started.has_value();
+}
+
+} // namespace
+
+int run_edge(int argc, char** argv, const std::string& settings_file, bool check_only)
+{
+    adapter::loaded_settings loaded = adapter::load_settings(settings_file);
+    for (const finding& problem : loaded.problems) {
+        std::fprintf(stderr, "%s\n", to_string(problem).c_str());
+    }
+    if (!loaded.value) {
+        return exit_invalid_settings;
+    }
+    if (check_only) {
+        return 0;
+    }
+    // Qt's own dispatcher needs less than GLib's.
+    qputenv("QT_NO_GLIB", "1");
+    line_logger output{STDOUT_FILENO};
+    if (!start_logging(output)) {
+        return exit_invalid_settings;
+    }
+    QCoreApplication application{argc, argv};
+    int code = exit_no_address;
+    {
+        edge_process process{std::move(*loaded.value), settings_file, output};
+        if (process.start()) {
+            code = QCoreApplication::exec();
+        }
+    }
+    logging::stop();
+    output.flush();
+    return code;
+}
+
+} // namespace gypsumstep::edge
--- a/packages/logging/include/gypsumstep/logging/logging.h
+++ b/packages/logging/include/gypsumstep/logging/logging.h
@@ -11,6 +11,7 @@
 #include <initializer_list>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -69,8 +70,13 @@
 
     /// Writes a line. Secrets that were registered are replaced in all strings, and so are
     /// values whose key is the name of a secret.
+    void log(level importance, std::string_view message, std::span<const field> fields) const;
+
     void log(level importance, std::string_view message,
-             std::initializer_list<field> fields = {}) const;
+             std::initializer_list<field> fields = {}) const
+    {
+        log(importance, message, std::span{fields.begin(), fields.size()});
+    }
 
     void trace(std::string_view message, std::initializer_list<field> fields = {}) const
     {
--- a/packages/logging/src/json_line.cpp
+++ b/packages/logging/src/json_line.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-std::string line_body(std::string_view message, std::initializer_list<field> fields)
+std::string line_body(std::string_view message, std::span<const field> fields)
 {
     json line = json::object();
     line["message"] = redact(message);
--- a/packages/logging/src/logging.cpp
+++ b/packages/logging/src/logging.cpp
@@ -170,8 +170,7 @@
         implementation{log4cplus::Logger::getInstance(component)});
 }
 
-void logger::log(level importance, std::string_view message,
-                 std::initializer_list<field> fields) const
+void logger::log(level importance, std::string_view message, std::span<const field> fields) const
 {
     if (!enabled(importance) || importance == level::off) {
         return;
--- a/packages/metrics/include/gypsumstep/metrics/metrics.h
+++ b/packages/metrics/include/gypsumstep/metrics/metrics.h
@@ -73,4 +73,25 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
+/// Upper bounds of a histogram's buckets; statements take from a millisecond to their
+/// time limit of some seconds.
+inline constexpr std::array<duration, 13> histogram_bounds{
+    1ms, 2ms, 5ms, 10ms, 25ms, 50ms, 100ms, 250ms, 500ms, 1s, 2500ms, 5s, 10s};
+
+/// Counts durations in buckets. Unlike a summary's quantiles, the counts of several
+/// daemons can be added.
+class histogram {
+public:
+    void observe(duration value);
+
+    /// Observations up to each bound, then all of them.
+    [[nodiscard]] std::array<std::uint64_t, histogram_bounds.size() + 1> cumulative() const;
+
+    [[nodiscard]] duration sum() const { return duration{m_sum.load(std::memory_order_relaxed)}; }
+
+private:
+    std::array<std::atomic<std::uint64_t>, histogram_bounds.size() + 1> m_buckets{};
+    std::atomic<duration::rep> m_sum{0};
+};
+
 } // namespace gypsumstep::metrics
--- a/packages/metrics/include/gypsumstep/metrics/registry.h
+++ b/packages/metrics/include/gypsumstep/metrics/registry.h
@@ -33,12 +33,17 @@
     summary& make_summary(const std::string& name, const std::string& help,
                           const labels& with = {});
 
+    /// The histogram of this name and these labels, made at the first call. It is written in
+    /// seconds, so its name should end in "_seconds".
+    histogram& make_histogram(const std::string& name, const std::string& help,
+                              const labels& with = {});
+
     /// All metrics as text, sorted by name and labels.
     [[nodiscard]] std::string expose(time_point now) const;
 
 private:
-    using metric =
-        std::variant<std::unique_ptr<counter>, std::unique_ptr<gauge>, std::unique_ptr<summary>>;
+    using metric = std::variant<std::unique_ptr<counter>, std::unique_ptr<gauge>,
+                                std::unique_ptr<summary>, std::unique_ptr<histogram>>;
 
     struct family {
         std::string help;
--- a/packages/metrics/src/exposition.cpp
+++ b/packages/metrics/src/exposition.cpp
@@ -71,6 +71,20 @@
     append_line(name + "_count", with, std::to_string(values.count));
 }
 
+void exposition_writer::histogram_samples(const std::string& name, const labels& with,
+                                          const histogram& values)
+{
+    const auto counts = values.cumulative();
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        labels extended = with;
+        extended["le"] =
+            i < histogram_bounds.size() ? seconds_text(histogram_bounds.at(i)) : "+Inf";
+        append_line(name + "_bucket", extended, std::to_string(counts.at(i)));
+    }
+    append_line(name + "_sum", with, seconds_text(values.sum()));
+    append_line(name + "_count", with, std::to_string(counts.back()));
+}
+
 void exposition_writer::append_line(const std::string& name, const labels& with,
                                     const std::string& value)
 {
--- a/packages/metrics/src/exposition.h
+++ b/packages/metrics/src/exposition.h
@@ -14,6 +14,8 @@
     void sample(const std::string& name, const labels& with, double value);
     void summary_samples(const std::string& name, const labels& with, const summary_values& values);
 
+    void histogram_samples(const std::string& name, const labels& with, const histogram& values);
+
     /// The text so far.
     [[nodiscard]] std::string take() { return std::move(m_text); }
 
--- a/packages/metrics/src/registry.cpp
+++ b/packages/metrics/src/registry.cpp
@@ -36,13 +36,20 @@
     return make<summary>(name, help, with);
 }
 
+histogram& registry::make_histogram(const std::string& name, const std::string& help,
+                                    const labels& with)
+{
+    return make<histogram>(name, help, with);
+}
+
 std::string registry::expose(time_point now) const
 {
     const std::scoped_lock lock{m_mutex};
     detail::exposition_writer writer;
     for (const auto& [name, one] : m_families) {
         const auto& first = one.members.begin()->second;
-        static constexpr std::array<const char*, 3> types{"counter", "gauge", "summary"};
+        static constexpr std::array<const char*, 4> types{"counter", "gauge", "summary",
+                                                          "histogram"};
         writer.begin_family(name, one.help, types.at(first.index()));
         for (const auto& [with, member] : one.members) {
             if (const auto* as_counter = std::get_if<std::unique_ptr<counter>>(&member)) {
@@ -51,9 +58,11 @@
             else if (const auto* as_gauge = std::get_if<std::unique_ptr<gauge>>(&member)) {
                 writer.sample(name, with, (*as_gauge)->value());
             }
+            else if (const auto* as_summary = std::get_if<std::unique_ptr<summary>>(&member)) {
+                writer.summary_samples(name, with, (*as_summary)->values(now));
+            }
             else {
-                const auto& as_summary = std::get<std::unique_ptr<summary>>(member);
-                writer.summary_samples(name, with, as_summary->values(now));
+                writer.histogram_samples(name, with, *std::get<std::unique_ptr<histogram>>(member));
             }
         }
     }
--- /dev/null
+++ b/packages/promotion/src/coordinator.cpp
@@ -0,0 +1,248 @@
+#include "gypsumstep/promotion/coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gypsumstep::promotion {
+namespace {
+
+/// Spread of the first call, so that one daemon asks before the others.
+constexpr duration first_call_spread = 250ms;
+
+/// Time for reading, surveying or claiming; covers a slow store.
+constexpr duration step_limit = 1500ms;
+
+/// Time between the platform's acceptance of an order and the new primary's first answer.
+constexpr duration order_effect_limit = 4s;
+
+/// Pause before a step is tried again.
+constexpr duration retry_pause = 400ms;
+
+/// Orders with one claim before a new target is chosen.
+constexpr std::uint32_t max_orders = 3;
+
+} // namespace
+
+coordinator::coordinator(std::string daemon, std::uint64_t seed)
+    : m_daemon{std::move(daemon)}, m_random{seed}
+{
+}
+
+void coordinator::update(const group_state& group, time_point now)
+{
+    const bool same_primary = group.primary == m_group.primary;
+    m_group = group;
+    const std::string reason = reason_to_promote();
+    if (reason.empty() || (!same_primary && m_group.primary)) {
+        finish();
+        if (reason.empty()) {
+            return;
+        }
+    }
+    m_reason = reason;
+    if (m_step == step::idle) {
+        m_step = step::waiting;
+        m_due = now + m_random.between(duration{0}, first_call_spread);
+    }
+    if (now < m_due) {
+        return;
+    }
+    if (m_step == step::waiting) {
+        begin(now);
+        return;
+    }
+    // The present step had its time.
+    retry_after(retry_pause, now);
+}
+
+std::string coordinator::reason_to_promote() const
+{
+    if (m_group.replicas.empty()) {
+        return {};
+    }
+    if (!m_group.primary) {
+        return "no server leads the group";
+    }
+    if (m_group.primary_draining) {
+        return "the primary is draining";
+    }
+    if (m_group.primary_missing) {
+        return "the primary's registration lapsed";
+    }
+    if (m_group.primary_failing >= suspicion_delay) {
+        return "the primary does not answer";
+    }
+    return {};
+}
+
+bool coordinator::needs_quorum() const
+{
+    return m_group.primary && !m_group.primary_draining && !m_group.primary_missing;
+}
+
+void coordinator::begin(time_point now)
+{
+    m_step = step::reading;
+    m_due = now + step_limit;
+    m_shared.reset();
+    m_surveyed = false;
+    if (needs_quorum()) {
+        emit(report_suspicion{*m_group.primary});
+    }
+    emit(read_shared_state{});
+}
+
+void coordinator::on_suspicion_written(call_outcome outcome, time_point now)
+{
+    if (outcome == call_outcome::failed && m_step == step::reading) {
+        retry_after(retry_pause, now);
+    }
+}
+
+void coordinator::on_shared_state(const std::optional<shared_state>& state, time_point now)
+{
+    if (m_step != step::reading) {
+        return;
+    }
+    if (!state) {
+        retry_after(retry_pause, now);
+        return;
+    }
+    m_shared = state;
+    if (state->current && state->current->holder != m_daemon &&
+        state->now - state->current->claimed_at < claim_lease) {
+        retry_after(retry_pause, now);
+        return;
+    }
+    if (needs_quorum()) {
+        const auto suspecting = std::count_if(
+            state->suspicions.begin(), state->suspicions.end(), [&](const suspicion& each) {
+                return each.primary == m_group.primary &&
+                       state->now - each.reported_at < suspicion_lifetime;
+            });
+        if (static_cast<std::size_t>(suspecting) < suspicion_quorum) {
+            retry_after(retry_pause, now);
+            return;
+        }
+    }
+    m_step = step::surveying;
+    survey_replicas survey{m_group.replicas, m_group.sync_replicas > 0, {}};
+    if (m_group.primary && m_group.primary_draining) {
+        survey.demote = m_group.primary;
+    }
+    emit(std::move(survey));
+}
+
+void coordinator::on_survey(const std::vector<survey_answer>& answers, time_point now)
+{
+    if (m_step != step::surveying) {
+        return;
+    }
+    m_answers = answers;
+    m_surveyed = true;
+    claim_if_ready(now);
+}
+
+void coordinator::claim_if_ready(time_point now)
+{
+    const auto target = best_replica();
+    if (!target) {
+        m_rejected.reset();
+        retry_after(retry_pause, now);
+        return;
+    }
+    m_claim.holder = m_daemon;
+    m_claim.token = (m_shared->current ? m_shared->current->token : 0) + 1;
+    m_claim.target = *target;
+    m_claim.claimed_at = m_shared->now;
+    m_step = step::claiming;
+    m_due = now + step_limit;
+    emit(write_claim{m_claim, m_shared->claim_version});
+}
+
+std::optional<std::string> coordinator::best_replica() const
+{
+    std::optional<std::string> best;
+    log_position furthest;
+    std::size_t answered = 0;
+    for (const survey_answer& each : m_answers) {
+        if (!each.status) {
+            continue;
+        }
+        ++answered;
+        if (each.server != m_rejected && (!best || each.status->received > furthest)) {
+            best = each.server;
+            furthest = each.status->received;
+        }
+    }
+    // A commit was acknowledged once sync_replicas replicas held it; only when fewer than
+    // that are silent does the furthest answer contain it for sure.
+    const std::size_t silent = m_answers.size() - answered;
+    if (m_group.sync_replicas > 0 && silent >= m_group.sync_replicas) {
+        return std::nullopt;
+    }
+    return best;
+}
+
+void coordinator::on_claim_written(call_outcome outcome, time_point now)
+{
+    if (m_step != step::claiming) {
+        return;
+    }
+    if (outcome != call_outcome::done) {
+        retry_after(retry_pause, now);
+        return;
+    }
+    m_step = step::ordering;
+    m_orders = 1;
+    m_due = now + step_limit;
+    emit(order_promotion{m_claim.target, m_claim.token});
+}
+
+void coordinator::on_order(call_outcome outcome, time_point now)
+{
+    if (m_step != step::ordering) {
+        return;
+    }
+    switch (outcome) {
+    case call_outcome::done:
+        m_step = step::ordered;
+        m_due = now + order_effect_limit;
+        break;
+    case call_outcome::conflict:
+        m_rejected = m_claim.target;
+        retry_after(retry_pause, now);
+        break;
+    case call_outcome::failed:
+        if (m_orders >= max_orders) {
+            retry_after(retry_pause, now);
+            break;
+        }
+        // The same order with the same token takes effect once.
+        ++m_orders;
+        m_due = now + step_limit;
+        emit(order_promotion{m_claim.target, m_claim.token});
+        break;
+    }
+}
+
+std::vector<action> coordinator::take_actions()
+{
+    return std::exchange(m_actions, {});
+}
+
+void coordinator::retry_after(duration pause, time_point now)
+{
+    m_step = step::waiting;
+    m_due = now + m_random.between(pause, pause * 2);
+}
+
+void coordinator::finish()
+{
+    m_step = step::idle;
+    m_reason.clear();
+    m_rejected.reset();
+    m_actions.clear();
+}
+
+} // namespace gypsumstep::promotion
--- /dev/null
+++ b/packages/promotion/tests/test_server_health.cpp
@@ -0,0 +1,52 @@
+// Tests of telling a silent server from a busy one.
+#include "gypsumstep/promotion/server_health.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumstep;
+using namespace gypsumstep::promotion;
+
+namespace {
+
+const time_point start{100s};
+
+} // namespace
+
+TEST_CASE("a refused connection counts from the first failure")
+{
+    server_health health;
+    health.failed(start);
+    health.failed(start + 300ms);
+    CHECK(health.failing_for(start + 500ms) == 500ms);
+    health.answered(start + 600ms);
+    CHECK(health.failing_for(start + 700ms) == 0ms);
+}
+
+TEST_CASE("silence counts only after its limit, and then from its beginning")
+{
+    server_health health;
+    health.answered(start);
+    health.waiting_since(start + 100ms, start + 100ms + server_health::silence_limit - 1ms);
+    CHECK(health.failing_for(start + 1s) == 0ms);
+    health.waiting_since(start + 100ms, start + 100ms + server_health::silence_limit);
+    CHECK(health.failing_for(start + 1100ms) == 1s);
+}
+
+TEST_CASE("a slow statement does not hide that the server answers others")
+{
+    server_health health;
+    health.answered(start + 2s);
+    health.waiting_since(start, start + 2500ms);
+    CHECK(health.failing_for(start + 2500ms) == 0ms);
+}
+
+TEST_CASE("the time in which this process was frozen is no evidence")
+{
+    server_health health;
+    health.answered(start);
+    health.failed(start + 100ms);
+    health.resumed(start + 5s);
+    CHECK(health.failing_for(start + 5s) == 0ms);
+    health.waiting_since(start + 50ms, start + 5100ms);
+    CHECK(health.failing_for(start + 5100ms) == 0ms);
+}
--- /dev/null
+++ b/packages/proxy/tests/test_promotion.cpp
@@ -0,0 +1,93 @@
+// Tests of replacing a primary through the proxy.
+#include "harness.h"
+
+using namespace gypsumstep;
+using namespace gypsumstep::proxy::test;
+
+namespace {
+
+template <class T>
+std::optional<T> last_step(const harness& world)
+{
+    for (auto each = world.promotions.rbegin(); each != world.promotions.rend(); ++each) {
+        if (const auto* found = std::get_if<T>(&each->step)) {
+            return *found;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Lets the store answer that nobody holds a claim.
+void answer_store(harness& world, std::vector<promotion::suspicion> suspicions = {})
+{
+    promotion::shared_state state;
+    state.now = promotion::store_time{90'000};
+    state.suspicions = std::move(suspicions);
+    world.tested().on_shared_state("ledger", state, world.now);
+    world.pass(20ms);
+}
+
+} // namespace
+
+TEST_CASE("a primary that is gone is replaced by the replica that received most")
+{
+    harness world;
+    world.servers["r2"];
+    world.servers["r"].position.index = 99;
+    world.start();
+    world.servers["p"].reachable = false;
+    world.reset("p");
+    world.list_servers("p");
+    world.pass(800ms);
+    REQUIRE(last_step<promotion::read_shared_state>(world));
+    answer_store(world);
+    const auto claim = last_step<promotion::write_claim>(world);
+    REQUIRE(claim);
+    CHECK(claim->next.target == "r2");
+    CHECK_FALSE(last_step<promotion::order_promotion>(world));
+    world.tested().on_claim_written("ledger", promotion::call_outcome::done, world.now);
+    world.pass(20ms);
+    CHECK(last_step<promotion::order_promotion>(world)->target == "r2");
+}
+
+TEST_CASE("a lapsed entry of a primary that answers is no reason to replace it")
+{
+    harness world;
+    world.start();
+    world.list_servers("p");
+    world.pass(1s);
+    CHECK(world.promotions.empty());
+}
+
+TEST_CASE("a draining primary stops taking writes before its replica is promoted")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    (void)world.ask(client, harness::write());
+    world.draining.insert("p");
+    world.list_servers();
+    world.pass(400ms);
+    answer_store(world);
+    CHECK(world.commands(command_kind::demote, "p").size() == 1);
+    // The replica has to receive position 101 first.
+    CHECK_FALSE(last_step<promotion::write_claim>(world));
+    world.servers["r"].position.index = 101;
+    world.pass(60ms);
+    REQUIRE(last_step<promotion::write_claim>(world));
+    CHECK(last_step<promotion::write_claim>(world)->next.target == "r");
+}
+
+TEST_CASE("a frozen process does not suspect the primary for its own silence")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    world.servers["p"].silent = true;
+    world.send(client, harness::write());
+    world.pass(100ms);
+    world.now += 5s;
+    world.tested().on_tick(world.now);
+    world.pass(300ms);
+    CHECK(world.promotions.empty());
+}
--- /dev/null
+++ b/packages/proxy/tests/test_transactions.cpp
@@ -0,0 +1,195 @@
+// Tests of transactions and the connections that hold them.
+#include "harness.h"
+
+using namespace gypsumstep;
+using namespace gypsumstep::proxy::test;
+
+TEST_CASE("a transaction begins at a server with its first statement")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    const auto begun = world.ask(client, harness::begin());
+    REQUIRE(begun);
+    CHECK(begun->state == transaction_state::open);
+    CHECK(world.commands(command_kind::begin).empty());
+    CHECK(world.ask(client, harness::write())->state == transaction_state::open);
+    CHECK(world.commands(command_kind::begin, "p").size() == 1);
+    const auto committed = world.ask(client, harness::commit());
+    CHECK(committed->signature == "sig-p");
+    CHECK(committed->state == transaction_state::idle);
+    CHECK(world.servers["p"].writes == 1);
+}
+
+TEST_CASE("all statements of a transaction use one connection, and nobody else uses it")
+{
+    harness world;
+    world.start();
+    const session_id first = world.connect("primary");
+    const session_id second = world.connect("primary");
+    (void)world.ask(first, harness::begin());
+    (void)world.ask(first, harness::write());
+    (void)world.ask(second, harness::write());
+    (void)world.ask(first, harness::write());
+    (void)world.ask(first, harness::commit());
+    const auto sent = world.commands(command_kind::forward, "p");
+    REQUIRE(sent.size() == 4);
+    CHECK(sent[0].link == sent[2].link);
+    CHECK(sent[0].link == sent[3].link);
+    CHECK(sent[0].link != sent[1].link);
+}
+
+TEST_CASE("a rolled back transaction leaves its connection clean")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    (void)world.ask(client, harness::begin());
+    (void)world.ask(client, harness::write());
+    CHECK(world.ask(client, harness::rollback())->ok());
+    CHECK(world.commands(command_kind::rollback, "p").size() == 1);
+    CHECK(world.servers["p"].writes == 0);
+    CHECK(world.ask(client, harness::write())->ok());
+    CHECK(world.servers["p"].writes == 1);
+}
+
+TEST_CASE("a client that leaves in a transaction has it rolled back")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    (void)world.ask(client, harness::begin());
+    (void)world.ask(client, harness::write());
+    world.close(client);
+    CHECK(world.commands(command_kind::rollback, "p").size() == 1);
+    CHECK(world.servers["p"].writes == 0);
+}
+
+TEST_CASE("a commit without statements still runs at a server")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    (void)world.ask(client, harness::begin());
+    CHECK(world.ask(client, harness::commit())->signature == "sig-p");
+}
+
+TEST_CASE("a read-only transaction runs on a replica")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("bounded");
+    (void)world.ask(client, harness::begin_read());
+    CHECK(world.ask(client, harness::read())->signature == "sig-r");
+    CHECK(world.ask(client, harness::commit())->signature == "sig-r");
+    CHECK(world.commands(command_kind::begin_read_only, "r")[0].command.at_least);
+}
+
+TEST_CASE("a failed transaction accepts only its end")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    (void)world.ask(client, harness::begin());
+    (void)world.ask(client, harness::write());
+    world.reset("p");
+    const auto failed = world.ask(client, harness::write());
+    CHECK(failed->error == error_class::aborted);
+    CHECK(failed->state == transaction_state::failed);
+    CHECK(world.ask(client, harness::write())->error == error_class::malformed);
+    CHECK(world.ask(client, harness::rollback())->state == transaction_state::idle);
+}
+
+TEST_CASE("a commit of a failed transaction is no success")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    (void)world.ask(client, harness::begin());
+    (void)world.ask(client, harness::write());
+    world.reset("p");
+    const auto answer = world.ask(client, harness::commit());
+    CHECK(answer->error == error_class::aborted);
+    CHECK(answer->state == transaction_state::idle);
+    CHECK(world.servers["p"].writes == 0);
+}
+
+TEST_CASE("a transaction that rests too long is rolled back and fails")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    (void)world.ask(client, harness::begin());
+    (void)world.ask(client, harness::write());
+    world.pass(3200ms);
+    CHECK(world.commands(command_kind::rollback, "p").size() == 1);
+    CHECK(world.ask(client, harness::commit())->error == error_class::aborted);
+    CHECK(world.servers["p"].writes == 0);
+}
+
+TEST_CASE("a connection whose commit was refused is not used again")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    (void)world.ask(client, harness::begin());
+    (void)world.ask(client, harness::write());
+    world.script = [](const received& taken) -> std::optional<statement::answer> {
+        if (taken.command.text != "COMMIT") {
+            return std::nullopt;
+        }
+        statement::answer content;
+        content.error = error_class::failed;
+        content.state = transaction_state::open;
+        return content;
+    };
+    const proxy::link_id used = world.commands(command_kind::forward, "p")[0].link;
+    CHECK(world.ask(client, harness::commit())->error == error_class::failed);
+    CHECK_FALSE(world.link_open(used));
+}
+
+TEST_CASE("no capacity inside a transaction is waited for on the same connection")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    (void)world.ask(client, harness::begin());
+    (void)world.ask(client, harness::write());
+    bool full = true;
+    world.script = [&full](const received& taken) -> std::optional<statement::answer> {
+        if (!full || taken.command.kind != command_kind::forward) {
+            return std::nullopt;
+        }
+        full = false;
+        statement::answer content;
+        content.error = error_class::busy;
+        content.state = transaction_state::open;
+        return content;
+    };
+    CHECK_FALSE(world.ask(client, harness::write()));
+    world.pass(40ms);
+    CHECK(world.answer_of(client)->ok());
+    const auto sent = world.commands(command_kind::forward, "p");
+    CHECK(sent[0].link == sent[2].link);
+}
+
+TEST_CASE("a statement of a transaction never moves to another connection")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    (void)world.ask(client, harness::begin());
+    (void)world.ask(client, harness::write());
+    (void)world.ask(client, harness::set("zone", "cet"));
+    // The connection is lost while the value is replayed, before the statement is sent.
+    world.servers["p"].silent = true;
+    world.answers.clear();
+    world.send(client, harness::write());
+    REQUIRE(world.commands(command_kind::set, "p").size() == 1);
+    world.servers["p"].silent = false;
+    world.reset("p");
+    world.pass(100ms);
+    REQUIRE(world.answer_of(client));
+    CHECK(world.answer_of(client)->error == error_class::aborted);
+    CHECK(world.commands(command_kind::forward).size() == 1);
+}
--- a/packages/daemon/src/signal_watch.cpp
+++ b/packages/runtime/src/signal_watch.cpp
@@ -1,25 +1,26 @@
-#include "signal_watch.h"
+#include "gypsumstep/runtime/signal_watch.h"
 
 #include <array>
 #include <csignal>
 
 #include <unistd.h>
 
-namespace gypsumstep::daemon {
+namespace gypsumstep::runtime {
 namespace {
 
 // A handler may only write to a descriptor.
 std::array<int, 2> signal_pipe{-1, -1}; // NOLINT: reached by the handler
 
-void on_raised(int /*number*/)
+void on_raised(int number)
 {
-    const char byte = 0;
+    const char byte = static_cast<char>(number);
     (void)!::write(signal_pipe[1], &byte, 1);
 }
 
 } // namespace
 
-signal_watch::signal_watch(std::function<void()> on_signal) : m_on_signal{std::move(on_signal)}
+signal_watch::signal_watch(std::initializer_list<int> numbers, std::function<void(int)> on_signal)
+    : m_on_signal{std::move(on_signal)}
 {
     if (::pipe(signal_pipe.data()) != 0) {
         return;
@@ -27,11 +28,13 @@
     m_notifier = std::make_unique<QSocketNotifier>(signal_pipe[0], QSocketNotifier::Read);
     connect(m_notifier.get(), &QSocketNotifier::activated, this, [this] {
         char byte = 0;
-        (void)!::read(signal_pipe[0], &byte, 1);
-        m_on_signal();
+        if (::read(signal_pipe[0], &byte, 1) == 1) {
+            m_on_signal(byte);
+        }
     });
-    std::signal(SIGTERM, on_raised);
-    std::signal(SIGINT, on_raised);
+    for (const int number : numbers) {
+        std::signal(number, on_raised);
+    }
 }
 
-} // namespace gypsumstep::daemon
+} // namespace gypsumstep::runtime
--- /dev/null
+++ b/packages/statement/src/session_state.cpp
@@ -0,0 +1,121 @@
+#include "gypsumstep/statement/session_state.h"
+
+#include "gypsumstep/statement/outcome.h"
+
+#include <algorithm>
+#include <array>
+
+namespace gypsumstep::statement {
+
+const char* to_string(verb kind)
+{
+    static constexpr std::array<const char*, 11> names{
+        "begin", "begin_read_only", "commit",  "rollback", "read",   "write",
+        "set",   "prepare",         "execute", "close",    "unknown"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+const char* to_string(error_class value)
+{
+    static constexpr std::array<const char*, 14> names{
+        "none",     "busy",         "aborted",          "lagging",   "read_only", "misrouted",
+        "too_many", "unknown_name", "unknown_database", "malformed", "failed",    "timeout",
+        "unknown",  "other"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+void session_state::set_value(std::string name, std::string value)
+{
+    m_values.insert_or_assign(std::move(name), std::move(value));
+}
+
+void session_state::prepare(std::string name, prepared_shape shape)
+{
+    m_prepared.insert_or_assign(std::move(name), std::move(shape));
+}
+
+bool session_state::close(const std::string& name)
+{
+    return m_prepared.erase(name) > 0;
+}
+
+const prepared_shape* session_state::find(const std::string& name) const
+{
+    const auto found = m_prepared.find(name);
+    return found == m_prepared.end() ? nullptr : &found->second;
+}
+
+std::string connection_state::name_of(const prepared_shape& shape)
+{
+    return (shape.mode == access::write ? "w_" : "r_") + shape.shape;
+}
+
+std::optional<server_command> connection_state::next_replay(const session_state& session,
+                                                            const prepared_shape* needed) const
+{
+    server_command command;
+    if (has_foreign_value(session.values())) {
+        command.kind = command_kind::reset;
+        return command;
+    }
+    for (const auto& [name, value] : session.values()) {
+        const auto held = m_values.find(name);
+        if (held == m_values.end() || held->second != value) {
+            command.kind = command_kind::set;
+            command.name = name;
+            command.value = value;
+            return command;
+        }
+    }
+    if (needed != nullptr && !m_prepared.contains(name_of(*needed))) {
+        command.kind = command_kind::prepare;
+        command.name = name_of(*needed);
+        command.value = needed->shape;
+        command.mode = needed->mode;
+        return command;
+    }
+    return std::nullopt;
+}
+
+std::size_t connection_state::replay_cost(const session_state& session) const
+{
+    if (has_foreign_value(session.values())) {
+        return session.values().size() + 1;
+    }
+    return static_cast<std::size_t>(
+        std::count_if(session.values().begin(), session.values().end(), [this](const auto& each) {
+            const auto held = m_values.find(each.first);
+            return held == m_values.end() || held->second != each.second;
+        }));
+}
+
+void connection_state::acknowledged(const server_command& command)
+{
+    switch (command.kind) {
+    case command_kind::reset:
+        m_values.clear();
+        m_prepared.clear();
+        break;
+    case command_kind::set:
+        m_values.insert_or_assign(command.name, command.value);
+        break;
+    case command_kind::prepare:
+        m_prepared.insert(command.name);
+        break;
+    default:
+        break;
+    }
+}
+
+void connection_state::forget(const prepared_shape& shape)
+{
+    m_prepared.erase(name_of(shape));
+}
+
+bool connection_state::has_foreign_value(const session_state::value_map& wanted) const
+{
+    return std::any_of(m_values.begin(), m_values.end(),
+                       [&wanted](const auto& held) { return !wanted.contains(held.first); });
+}
+
+} // namespace gypsumstep::statement
