Rest fewer server connections; read from a near, idle primary

Cause: after all daemons lost power the servers still counted their connections for 3 s and refused the new ones with TOOMANY; four connections a daemon and server were held open without use. And a read whose near server was the primary always went to a remote replica, 40 ms away and paid for by the byte.

Change: connections beyond two are closed after a second's rest, a refused daemon tries again sooner; the primary's handicap for reads grows with what it runs instead of being fixed at 150 ms.

Ruled out: more connections after a restart; the servers refuse them.

--- a/packages/dispatch/src/server_choice.cpp
+++ b/packages/dispatch/src/server_choice.cpp
@@ -18,8 +18,9 @@
 /// The same between failure domains of one region.
 constexpr duration region_penalty = 2ms;
 
-/// A replica is preferred unless the primary is this much faster.
-constexpr duration primary_penalty = 150ms;
+/// A replica is preferred unless the primary is this much faster; more with each
+/// statement that it runs, since only the primary can run writes.
+constexpr duration primary_penalty = 30ms;
 
 /// Cost of opening a connection first.
 constexpr duration connection_penalty = 20ms;
@@ -40,7 +41,7 @@
         break;
     }
     if (server.is_primary) {
-        expected += primary_penalty;
+        expected += primary_penalty * (1 + server.in_flight);
     }
     if (server.needs_connection) {
         expected += connection_penalty;
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -107,8 +107,8 @@
     task_ptr work;                    ///< empty if nobody waits for the answer any more
     statement::server_command command;
     time_point command_sent{};
-    time_point limit{}; ///< when the pending command is given up
-    statement::answer partial;
+    time_point limit{};      ///< when the pending command is given up
+    time_point idle_since{}; ///< when it became free
 };
 
 /// What the proxy knows of a server beyond its registration.
--- a/packages/proxy/include/gypsumstep/proxy/options.h
+++ b/packages/proxy/include/gypsumstep/proxy/options.h
@@ -31,6 +31,14 @@
     /// Connections to one server at first; adapts to what the server admits.
     std::uint32_t connections_per_server{4};
 
+    /// Connections to one server that stay open without use. A server counts the
+    /// connections of daemons that lost power for some seconds, and the restarted daemons
+    /// need as many again.
+    std::uint32_t resting_connections{2};
+
+    /// Rest after which a connection beyond these is closed.
+    duration connection_rest{1s};
+
     /// Time for a connection to be opened and its session to be started.
     duration connect_limit{1s};
 
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -16,7 +16,7 @@
 constexpr duration longest_connect_pause = 800ms;
 
 /// Pause after a server had no connection left; other daemons need time to give theirs back.
-constexpr duration too_many_pause = 300ms;
+constexpr duration too_many_pause = 150ms;
 
 /// Pause before a server that reported no capacity gets new work.
 constexpr duration busy_pause = 10ms;
@@ -289,6 +289,7 @@
         --at.running;
     }
     of.phase = link_phase::idle;
+    of.idle_since = now;
     of.work.reset();
     of.pinned.reset();
     const directory::server_record* const record = m_directory.find(at.id);
--- a/packages/proxy/src/upkeep.cpp
+++ b/packages/proxy/src/upkeep.cpp
@@ -12,7 +12,7 @@
 constexpr duration frozen_gap = 500ms;
 
 /// Time between additions to a server's number of connections after a refusal.
-constexpr duration raise_links_after = 2s;
+constexpr duration raise_links_after = 1s;
 
 /// A read is sent to a second server after this multiple of its server's usual time,
 /// and not before the minimum.
@@ -79,6 +79,11 @@
         }
         switch (each->phase) {
         case link_phase::idle:
+            if (now - each->idle_since >= m_options.connection_rest &&
+                find_server(each->server)->links.size() > m_options.resting_connections) {
+                drop_link(id, "it was not needed", now);
+            }
+            break;
         case link_phase::held:
             break;
         case link_phase::pausing:
