Replace a registered primary only when half of the daemons suspect it

The two others reached the store and the replicas, promoted one, and took the primary away from the five. Two suspicions were enough, and a lapsed registration needed none.

Change: suspicions of half of the group's daemons, two at least; daemons announce themselves in a row of the store. A lapsed registration needs the same quorum until the grace period removes it. Positions in READY tell which replica holds what a read needs.

Ruled out: asking the replicas whether they still receive; behind a split they do not.

The unit test "a primary that most daemons reach is left to them" fails without it.

--- a/packages/edge/src/promotion_caller.h
+++ b/packages/edge/src/promotion_caller.h
@@ -8,6 +8,8 @@
 #include "gypsumstep/proxy/actions.h"
 #include "gypsumstep/proxy/proxy.h"
 
+#include <QTimer>
+
 #include <functional>
 #include <string>
 
@@ -27,7 +29,9 @@
 
 private:
     [[nodiscard]] promotion::store_time store_now() const;
+    void announce();
     void read_state(const std::string& service);
+    void read_promotion(const std::string& service);
     void report_suspicion(const std::string& service, const std::string& primary);
     void write_claim(const std::string& service, const promotion::write_claim& wanted);
     void order(const std::string& service, const promotion::order_promotion& wanted);
@@ -38,6 +42,9 @@
     http_caller m_store;
     http_caller m_platform;
     promotion::store_time m_clock_offset{0}; ///< the store's clock less this VM's
+    bool m_clock_known{false};
+    QTimer m_next_announcement;
+    std::size_t m_daemons{0}; ///< that announced themselves lately
 };
 
 } // namespace gypsumstep::edge
--- a/packages/promotion/include/gypsumstep/promotion/coordinator.h
+++ b/packages/promotion/include/gypsumstep/promotion/coordinator.h
@@ -20,7 +20,6 @@
 struct group_state {
     std::optional<std::string> primary; ///< instance id of the server that leads
     bool primary_draining{false};       ///< it announced its shutdown
-    bool primary_missing{false};        ///< its registration lapsed
     duration primary_failing{0};        ///< how long it has not answered this daemon
     std::vector<std::string> replicas;  ///< ready replicas
     std::uint32_t sync_replicas{0};
@@ -96,8 +95,10 @@
     /// packet's retransmission, shorter than a promotion.
     static constexpr duration suspicion_delay = 700ms;
 
-    /// Number of daemons that must suspect a primary whose registration is still there.
-    static constexpr std::size_t suspicion_quorum = 2;
+    /// Least number of daemons that must suspect a primary whose registration is known.
+    /// Of more than four daemons it takes half: where a partition left the primary with
+    /// most of them, a promotion would take it away from more clients than it helps.
+    static constexpr std::size_t min_suspicion_quorum = 2;
 
     /// Reports older than this do not count.
     static constexpr store_time suspicion_lifetime{4000};
@@ -135,6 +136,7 @@
 
     [[nodiscard]] std::string reason_to_promote() const;
     [[nodiscard]] bool needs_quorum() const;
+    [[nodiscard]] bool has_quorum(const shared_state& state) const;
     [[nodiscard]] std::optional<std::string> best_replica() const;
     void begin(time_point now);
     void retry_after(duration pause, time_point now);
--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -66,9 +66,6 @@
     if (m_group.primary_draining) {
         return "the primary is draining";
     }
-    if (m_group.primary_missing) {
-        return "the primary's registration lapsed";
-    }
     if (m_group.primary_failing >= suspicion_delay) {
         return "the primary does not answer";
     }
@@ -77,7 +74,18 @@
 
 bool coordinator::needs_quorum() const
 {
-    return m_group.primary && !m_group.primary_draining && !m_group.primary_missing;
+    return m_group.primary && !m_group.primary_draining;
+}
+
+bool coordinator::has_quorum(const shared_state& state) const
+{
+    const auto suspecting = std::count_if(
+        state.suspicions.begin(), state.suspicions.end(), [&](const suspicion& each) {
+            return each.primary == m_group.primary &&
+                   state.now - each.reported_at < suspicion_lifetime;
+        });
+    const std::size_t needed = std::max(min_suspicion_quorum, (state.daemons + 1) / 2);
+    return static_cast<std::size_t>(suspecting) >= needed;
 }
 
 void coordinator::begin(time_point now)
@@ -114,16 +122,9 @@
         retry_after(retry_pause, now);
         return;
     }
-    if (needs_quorum()) {
-        const auto suspecting = std::count_if(
-            state->suspicions.begin(), state->suspicions.end(), [&](const suspicion& each) {
-                return each.primary == m_group.primary &&
-                       state->now - each.reported_at < suspicion_lifetime;
-            });
-        if (static_cast<std::size_t>(suspecting) < suspicion_quorum) {
-            retry_after(retry_pause, now);
-            return;
-        }
+    if (needs_quorum() && !has_quorum(*state)) {
+        retry_after(retry_pause, now);
+        return;
     }
     m_step = step::surveying;
     survey_replicas survey{m_group.replicas, m_group.sync_replicas > 0, {}};
--- a/packages/promotion/tests/test_coordinator.cpp
+++ b/packages/promotion/tests/test_coordinator.cpp
@@ -122,7 +122,7 @@
     CHECK(daemon.actions.empty());
 
     daemon.run(group);
-    daemon.tested.on_shared_state(suspecting_store(coordinator::suspicion_quorum), daemon.now);
+    daemon.tested.on_shared_state(suspecting_store(coordinator::min_suspicion_quorum), daemon.now);
     daemon.collect();
     CHECK(find_action<survey_replicas>(daemon.actions));
 }
@@ -258,3 +258,23 @@
     daemon.collect();
     CHECK(daemon.actions.empty());
 }
+
+TEST_CASE("a primary that most daemons reach is left to them")
+{
+    driver daemon;
+    group_state group = healthy_group();
+    group.primary_failing = 2s;
+    daemon.run(group);
+    shared_state state = suspecting_store(2);
+    state.daemons = 7;
+    daemon.tested.on_shared_state(state, daemon.now);
+    daemon.collect();
+    CHECK(daemon.actions.empty());
+
+    daemon.run(group);
+    state = suspecting_store(4);
+    state.daemons = 7;
+    daemon.tested.on_shared_state(state, daemon.now);
+    daemon.collect();
+    CHECK(find_action<survey_replicas>(daemon.actions));
+}
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -123,6 +123,7 @@
     time_point max_links_raised{};
     duration usual_time{0};
     dispatch::lag_memory lag;
+    log_position applied; ///< newest position that it reported
     promotion::server_health health;
     time_point connect_after{};
     duration connect_pause{0};
--- a/packages/proxy/src/groups.cpp
+++ b/packages/proxy/src/groups.cpp
@@ -15,9 +15,6 @@
 /// Pause before a replica is asked again whether it holds what the old primary had.
 constexpr duration survey_pause = 20ms;
 
-/// Silence of a primary whose registration lapsed that confirms the lapse.
-constexpr duration lapse_confirmation = 300ms;
-
 /// Watermarks are kept this much longer than any route's staleness.
 constexpr duration watermark_slack = 1s;
 
@@ -178,7 +175,6 @@
         const duration failing = find_server(leader->id)->health.failing_for(now);
         state.primary = leader->entry.name;
         state.primary_draining = leader->entry.draining;
-        state.primary_missing = leader->missing_since && failing >= lapse_confirmation;
         state.primary_failing = failing;
     }
     for (const directory::server_record* each : m_directory.of_service(of.service)) {
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -100,7 +100,11 @@
     if (of == nullptr) {
         return;
     }
-    find_server(of->server)->health.answered(now);
+    server& from = *find_server(of->server);
+    from.health.answered(now);
+    if (content.position) {
+        from.applied = std::max(from.applied, *content.position);
+    }
     switch (of->phase) {
     case link_phase::opening:
         on_started(*of, content, now);
--- a/packages/proxy/tests/test_promotion.cpp
+++ b/packages/proxy/tests/test_promotion.cpp
@@ -38,6 +38,8 @@
     world.servers["p"].reachable = false;
     world.reset("p");
     world.list_servers("p");
+    world.pass(directory::server_directory::absence_grace);
+    world.list_servers("p");
     world.pass(800ms);
     REQUIRE(last_step<promotion::read_shared_state>(world));
     answer_store(world);
