Let connections to a server grow from two after a start

Ruled out: that connections at rest were the whole cause; two a daemon were not enough, since the primary's were all in use.

--- a/packages/proxy/include/gypsumstep/proxy/options.h
+++ b/packages/proxy/include/gypsumstep/proxy/options.h
@@ -28,7 +28,7 @@
     /// Places that only the most urgent statements use, on top.
     std::uint32_t urgent_reserve{1};
 
-    /// Connections to one server at first; adapts to what the server admits.
+    /// Most connections to one server; adapts to what the server admits.
     std::uint32_t connections_per_server{4};
 
     /// Connections to one server that stay open without use. A server counts the
@@ -37,7 +37,7 @@
     std::uint32_t resting_connections{2};
 
     /// Rest after which a connection beyond these is closed.
-    duration connection_rest{1s};
+    duration connection_rest{500ms};
 
     /// Time for a connection to be opened and its session to be started.
     duration connect_limit{1s};
--- a/packages/proxy/src/groups.cpp
+++ b/packages/proxy/src/groups.cpp
@@ -103,7 +103,8 @@
     added->id = record.id;
     added->service = record.entry.service;
     added->distance = proximity_of(record.entry.domain);
-    added->max_links = m_options.connections_per_server;
+    // Grows with time: after a restart of all daemons the servers still count old connections.
+    added->max_links = m_options.resting_connections;
     m_servers.emplace(record.id, std::move(added));
     (void)group_of(record.entry.service);
 }
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -148,7 +148,9 @@
     if (content.error == error_class::too_many) {
         at.max_links = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(at.links.size()) - 1);
         at.max_links_raised = now;
-        at.connect_after = now + m_random.between(too_many_pause, too_many_pause * 2);
+        // Without any connection the server is useless to this daemon's clients.
+        const duration pause = at.links.size() > 1 ? too_many_pause : too_many_pause / 3;
+        at.connect_after = now + m_random.between(pause, pause * 2);
     }
     else {
         at.health.failed(now);
