Forward sessions to homes where servers admit fewer connections than daemons

Change: each group has two homes in every failure domain, by rendezvous hashing over the announced daemons; the others pass the lines of a session to one. The former homes, gossip membership and their capacity experiment go: the store lists the daemons.

Weighed: forwarding single statements needs the session's values at the home as well.

--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -1,7 +1,7 @@
 // Embeds gypsumstep's decisions without its daemon: reads a configuration, asks which daemons
-// are the homes of a server, and where a read should run.
+// serve a group, and where a read should run.
 #include "gypsumstep/fleet/parse.h"
-#include "gypsumstep/homes/home_map.h"
+#include "gypsumstep/homes/home_table.h"
 #include "gypsumstep/routing/choose_server.h"
 
 #include <cstdlib>
@@ -9,13 +9,12 @@
 #include <iostream>
 #include <iterator>
 #include <variant>
+#include <vector>
 
 namespace {
 
 using namespace gypsumstep;
 
-constexpr std::uint32_t loopback = 0x7F000001; // 127.0.0.1
-
 /// A group whose first server is primary; the replicas have applied less.
 routing::group_view make_view(const fleet::group& group, time_point now)
 {
@@ -45,20 +44,24 @@
     return routing::choose_server(view, request, now);
 }
 
+/// With room for two daemons at each server, two of six serve a group.
 bool show_homes(const fleet::document& configuration)
 {
-    homes::home_map map{configuration};
-    std::uint16_t port = 6433;
+    std::vector<homes::daemon_entry> daemons;
     for (const fleet::domain& domain : configuration.domains) {
-        map.add({loopback, port++}, domain.id);
-        map.add({loopback, port++}, domain.id);
+        for (const char* place : {"-1", "-2"}) {
+            daemons.push_back({domain.name + place, domain.name, "127.0.0.1", 6433});
+        }
     }
+    homes::home_table table{daemons.front().name, daemons.front().domain, {}};
+    table.set_daemons(daemons);
+    const std::uint32_t room = 2 * homes::home_table::connections_per_home;
     bool has_all = true;
-    for (const fleet::server& server : configuration.servers) {
-        const auto homes = map.homes_of(server.id);
-        has_all = has_all && homes.first && homes.second;
-        std::cout << server.name << " has " << (homes.second ? "two homes" : "too few homes")
-                  << "\n";
+    for (const fleet::group& group : configuration.groups) {
+        const auto chosen = table.homes_of(group.name, room);
+        has_all = has_all && chosen.size() == 2;
+        std::cout << group.name << " is served by " << chosen.size() << " of " << daemons.size()
+                  << " daemons\n";
     }
     return has_all;
 }
--- a/packages/edge/src/client_listener.cpp
+++ b/packages/edge/src/client_listener.cpp
@@ -20,7 +20,8 @@
 
 } // namespace
 
-client_listener::client_listener(client_events events) : m_events{std::move(events)}
+client_listener::client_listener(client_events events, session_id first_session)
+    : m_events{std::move(events)}, m_next_session{first_session.value()}
 {
     m_server.setListenBacklogSize(backlog);
     connect(&m_server, &QTcpServer::newConnection, this, [this] { accept(); });
@@ -66,31 +67,57 @@
     found->second->splitter.feed({bytes.data(), static_cast<std::size_t>(bytes.size())});
     // A message may end the connection.
     while ((found = m_connections.find(from)) != m_connections.end()) {
-        auto line = found->second->splitter.next();
+        const auto line = found->second->splitter.next();
         if (line.has_value() && !line.value()) {
             return;
         }
-        auto message = line.has_error() ? result<adapter::client_message>{line.error()}
-                                        : adapter::decode_client_line(*line.value());
-        if (message.has_error()) {
-            m_events.malformed(from, message.error().message);
+        if (line.has_error()) {
+            m_events.malformed(from, line.error().message);
             close(from);
             m_events.closed(from);
             return;
         }
-        if (auto* start = std::get_if<adapter::start_message>(&message.value())) {
-            m_events.started(from, start->database);
+        if (found->second->on_line) {
+            // The handler may end the session and with it the stored function.
+            const auto on_line = found->second->on_line;
+            on_line(*line.value());
+            continue;
         }
-        else if (auto* query = std::get_if<adapter::statement_message>(&message.value())) {
-            m_events.statement_received(from, std::move(query->request));
-        }
-        else {
-            close(from);
-            m_events.closed(from);
+        if (!handle(from, *line.value())) {
+            return;
         }
     }
 }
 
+bool client_listener::handle(session_id from, const std::string& line)
+{
+    auto message = adapter::decode_client_line(line);
+    if (message.has_error()) {
+        m_events.malformed(from, message.error().message);
+        close(from);
+        m_events.closed(from);
+        return false;
+    }
+    if (const auto* start = std::get_if<adapter::start_message>(&message.value())) {
+        m_events.started(from, *start);
+        return true;
+    }
+    if (auto* query = std::get_if<adapter::statement_message>(&message.value())) {
+        m_events.statement_received(from, std::move(query->request));
+        return true;
+    }
+    close(from);
+    m_events.closed(from);
+    return false;
+}
+
+void client_listener::divert(session_id which, std::function<void(const std::string&)> on_line)
+{
+    if (const auto found = m_connections.find(which); found != m_connections.end()) {
+        found->second->on_line = std::move(on_line);
+    }
+}
+
 void client_listener::send_answer(session_id to, const statement::answer& content)
 {
     write(to, adapter::encode_answer(content));
--- /dev/null
+++ b/packages/edge/src/daemon_roster.cpp
@@ -0,0 +1,133 @@
+#include "daemon_roster.h"
+
+#include "boot_clock.h"
+
+#include "gypsumstep/logging/logging.h"
+
+#include <array>
+#include <utility>
+#include <vector>
+
+namespace gypsumstep::edge {
+namespace {
+
+/// One call; the list is small and the next one corrects a lost one.
+constexpr duration call_limit = 1500ms;
+
+/// Between announcements of this daemon; each is a paid call.
+constexpr duration announcement_interval = 40s;
+
+/// Announcements older than this are of daemons that ended; one may be lost.
+constexpr promotion::store_time announcement_lifetime{90'000};
+
+/// Pause before a call that failed is repeated.
+constexpr duration retry_pause = 1s;
+
+/// Pauses before the second and third reading of the list after a start, when the other
+/// daemons announce themselves as well, and between all later ones.
+constexpr std::array<duration, 3> list_pauses{1500ms, 5s, 30s};
+
+const logging::logger& log()
+{
+    static const logging::logger instance{"roster"};
+    return instance;
+}
+
+promotion::store_time local_now()
+{
+    return std::chrono::floor<promotion::store_time>(boot_now().time_since_epoch());
+}
+
+std::chrono::milliseconds to_timer(duration pause)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(pause);
+}
+
+} // namespace
+
+daemon_roster::daemon_roster(const adapter::node_settings& settings, std::uint64_t seed,
+                             std::function<void()> on_change)
+    : m_self{settings.name, settings.domain, settings.clients.host, settings.forwarding_port},
+      m_random{seed}, m_on_change{std::move(on_change)},
+      m_homes{settings.name, settings.domain, settings.regions}, m_store{settings.store.host,
+                                                                         settings.store.port}
+{
+    m_next_announcement.setSingleShot(true);
+    m_next_list.setSingleShot(true);
+    connect(&m_next_announcement, &QTimer::timeout, this, [this] { announce(); });
+    connect(&m_next_list, &QTimer::timeout, this, [this] { read_list(); });
+}
+
+void daemon_roster::set_store_clock(promotion::store_time now)
+{
+    m_clock_offset = now - local_now();
+    if (!m_clock_known) {
+        m_clock_known = true;
+        announce();
+        read_list();
+    }
+}
+
+promotion::store_time daemon_roster::store_now() const
+{
+    return local_now() + m_clock_offset;
+}
+
+void daemon_roster::announce()
+{
+    const homes::announcement value{m_self, store_now()};
+    m_store.call(adapter::write_announcement(value), call_limit, [this](const auto& response) {
+        const bool done = response.has_value() &&
+                          adapter::outcome_of(response.value()) == promotion::call_outcome::done;
+        if (!done) {
+            log().warn("could not announce this daemon",
+                       {{"cause", response.has_error()
+                                      ? response.error().message
+                                      : "status " + std::to_string(response.value().status)}});
+        }
+        const duration pause = done ? announcement_interval : retry_pause;
+        m_next_announcement.start(to_timer(m_random.between(pause * 3 / 4, pause)));
+    });
+}
+
+void daemon_roster::read_list()
+{
+    m_store.call(adapter::read_announcements(), call_limit,
+                 [this](const auto& response) { on_list(response); });
+}
+
+void daemon_roster::on_list(const result<adapter::http_response>& response)
+{
+    std::vector<std::string> malformed;
+    const auto read = response.has_error()
+                          ? result<std::vector<homes::announcement>>{response.error()}
+                          : adapter::decode_announcements(response.value(), malformed);
+    for (const std::string& each : malformed) {
+        log().warn("ignored a malformed announcement", {{"row", each}});
+    }
+    if (read.has_error()) {
+        log().warn("could not read the daemons' announcements", {{"cause", read.error().message}});
+        m_next_list.start(to_timer(m_random.between(retry_pause / 2, retry_pause)));
+        return;
+    }
+    const auto oldest = store_now() - announcement_lifetime;
+    std::vector<homes::daemon_entry> daemons;
+    for (const homes::announcement& each : read.value()) {
+        if (each.announced_at >= oldest) {
+            daemons.push_back(each.daemon);
+        }
+    }
+    const std::vector<homes::daemon_entry> before = m_homes.daemons();
+    m_homes.set_daemons(std::move(daemons));
+    if (!m_known || m_homes.daemons() != before) {
+        log().info("read the daemons' announcements",
+                   {{"daemons", static_cast<std::uint64_t>(m_homes.daemons().size())}});
+        m_known = true;
+        m_on_change();
+    }
+    const duration pause = list_pauses.at(std::min(m_lists, list_pauses.size() - 1));
+    ++m_lists;
+    m_next_list.start(to_timer(m_random.between(pause * 3 / 4, pause)));
+}
+
+} // namespace gypsumstep::edge
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <functional>
+#include <set>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -18,6 +19,15 @@
 /// Time between two checks of limits. Shorter than the shortest limit by a factor of ten.
 constexpr std::chrono::milliseconds tick_interval{20};
 
+/// Sessions from here on were forwarded by other daemons.
+constexpr session_id first_forwarded_session{1ULL << 40U};
+
+/// Time for a newer configuration to reach this daemon too.
+constexpr duration held_start_limit = 500ms;
+
+/// The process ends this long before it would be killed.
+constexpr duration stop_margin = 250ms;
+
 constexpr std::uint32_t status_ok = 200;
 constexpr std::uint32_t status_not_found = 404;
 constexpr std::uint32_t status_unavailable = 503;
@@ -34,14 +44,19 @@
     return instance;
 }
 
+std::uint64_t seed_of(const adapter::node_settings& settings)
+{
+    return std::hash<std::string>{}(settings.name) ^
+           static_cast<std::uint64_t>(boot_now().time_since_epoch().count());
+}
+
 proxy::options proxy_options(const adapter::node_settings& settings)
 {
     proxy::options options;
     options.daemon = settings.name;
     options.domain = settings.domain;
     options.regions = settings.regions;
-    options.seed = std::hash<std::string>{}(settings.name) ^
-                   static_cast<std::uint64_t>(boot_now().time_since_epoch().count());
+    options.seed = seed_of(settings);
     options.shutdown_grace = settings.shutdown_grace;
     return options;
 }
@@ -56,26 +71,14 @@
 edge_process::edge_process(adapter::node_settings settings, std::string settings_file,
                            line_logger& output)
     : m_settings{std::move(settings)}, m_settings_file{std::move(settings_file)}, m_output{output},
-      m_metrics{m_registry}, m_proxy{proxy_options(m_settings)},
-      m_clients{{
-          [this](session_id id) { m_proxy.on_client_connected(id, boot_now()); },
-          [this](session_id id, const std::string& database) {
-              m_proxy.on_client_start(id, database, boot_now());
-              run_actions();
-          },
-          [this](session_id id, statement::statement request) {
-              m_proxy.on_client_statement(id, std::move(request), boot_now());
-              run_actions();
-          },
-          [this](session_id id) {
-              m_proxy.on_client_closed(id, boot_now());
-              run_actions();
-          },
-          [](session_id id, const std::string& cause) {
-              log().warn("closed a client's connection",
-                         {{"session", id.value()}, {"cause", cause}});
-          },
-      }},
+      m_metrics{m_registry}, m_proxy{proxy_options(m_settings)}, m_roster{m_settings,
+                                                                          seed_of(m_settings),
+                                                                          [this] {
+                                                                              update_served();
+                                                                          }},
+      m_clients{events_of_clients(), session_id{1}}, m_forwarding_daemons{events_of_daemons(),
+                                                                          first_forwarded_session},
+      m_forwarder{m_clients, m_roster.homes(), seed_of(m_settings)},
       m_servers{m_settings.name,
                 {
                     [this](proxy::link_id id, statement::answer content) {
@@ -92,29 +95,164 @@
                     },
                 }},
       m_store{m_settings.store,
-              std::hash<std::string>{}(m_settings.name),
+              seed_of(m_settings),
               {
                   [this](directory::configuration next) {
                       m_proxy.on_configuration(std::move(next), boot_now());
-                      run_actions();
+                      retry_held_starts();
+                      update_served();
                   },
                   [this](const std::vector<directory::server_entry>& listing) {
                       m_proxy.on_servers(listing, boot_now());
                       run_actions();
                   },
                   [this] { return m_proxy.wants_fresh_servers(); },
-                  [this](promotion::store_time now) { m_promotions.set_store_clock(now); },
+                  [this](promotion::store_time now) {
+                      m_promotions.set_store_clock(now);
+                      m_roster.set_store_clock(now);
+                  },
               }},
-      m_promotions{m_settings, m_proxy, [this] { run_actions(); }},
+      m_promotions{m_settings, m_proxy,
+                   [this](const std::string& service) {
+                       const auto limit = m_proxy.routes().settings_of(service).max_connections;
+                       return m_roster.homes().homes_of(service, limit).size();
+                   },
+                   [this] { run_actions(); }},
       m_readiness{[this](const std::string& path) { return respond_readiness(path); }},
       m_metrics_endpoint{[this](const std::string& /*path*/) { return respond_metrics(); }},
       m_signals{{SIGTERM, SIGINT, SIGHUP}, [this](int number) { on_signal(number); }}
 {
-    connect(&m_tick, &QTimer::timeout, this, [this] {
-        m_proxy.on_tick(boot_now());
+    // Nothing is served on its own account before the other daemons are known.
+    m_proxy.set_served({}, boot_now());
+    connect(&m_tick, &QTimer::timeout, this, [this] { on_tick(); });
+}
+
+client_events edge_process::events_of_clients()
+{
+    client_events events = events_of_daemons();
+    events.started = [this](session_id id, const adapter::start_message& message) {
+        on_client_started(id, message);
+    };
+    return events;
+}
+
+client_events edge_process::events_of_daemons()
+{
+    client_events events;
+    events.connected = [this](session_id id) { m_proxy.on_client_connected(id, boot_now()); };
+    events.started = [this](session_id id, const adapter::start_message& message) {
+        on_forwarded_start(id, message);
+    };
+    events.statement_received = [this](session_id id, statement::statement request) {
+        m_proxy.on_client_statement(id, std::move(request), boot_now());
         run_actions();
-        m_output.flush();
-    });
+    };
+    events.closed = [this](session_id id) { on_client_closed(id); };
+    events.malformed = [](session_id id, const std::string& cause) {
+        log().warn("closed a client's connection", {{"session", id.value()}, {"cause", cause}});
+    };
+    return events;
+}
+
+client_listener& edge_process::listener_of(session_id id)
+{
+    return id < first_forwarded_session ? m_clients : m_forwarding_daemons;
+}
+
+void edge_process::on_client_started(session_id id, const adapter::start_message& message)
+{
+    const directory::route* const route = m_proxy.routes().find(message.database);
+    if (route != nullptr) {
+        const auto limit = m_proxy.routes().settings_of(route->service).max_connections;
+        if (!m_roster.homes().is_home(route->service, limit)) {
+            m_proxy.on_client_closed(id, boot_now());
+            m_forwarder.begin(id, {{message.database, m_proxy.routes().version()},
+                                   route->service,
+                                   limit,
+                                   route->statement_timeout});
+            return;
+        }
+    }
+    m_proxy.on_client_start(id, message.database, boot_now());
+    run_actions();
+}
+
+void edge_process::on_forwarded_start(session_id id, const adapter::start_message& message)
+{
+    if (message.at_least && m_proxy.routes().version() < *message.at_least) {
+        // The forwarding daemon acted by a newer configuration; this one must not go back.
+        m_held_starts.insert_or_assign(id, held_start{message, boot_now() + held_start_limit});
+        m_store.reload();
+        return;
+    }
+    m_proxy.on_client_start(id, message.database, boot_now());
+    run_actions();
+}
+
+void edge_process::retry_held_starts()
+{
+    const time_point now = boot_now();
+    std::vector<session_id> done;
+    for (const auto& [id, held] : m_held_starts) {
+        const bool caught_up = m_proxy.routes().version() >= *held.message.at_least;
+        if (caught_up) {
+            m_proxy.on_client_start(id, held.message.database, now);
+        }
+        else if (now >= held.limit) {
+            log().warn("refused a forwarded session: its configuration is not known here",
+                       {{"wanted", held.message.at_least->value()},
+                        {"configuration", m_proxy.routes().version().value()}});
+            m_forwarding_daemons.close(id);
+            m_proxy.on_client_closed(id, now);
+        }
+        if (caught_up || now >= held.limit) {
+            done.push_back(id);
+        }
+    }
+    for (const session_id id : done) {
+        m_held_starts.erase(id);
+    }
+}
+
+void edge_process::update_served()
+{
+    // Until the other daemons are known, every daemon would take itself for a home.
+    if (!m_roster.known()) {
+        return;
+    }
+    std::set<std::string, std::less<>> served;
+    for (const auto& [service, limits] : m_proxy.routes().current().services) {
+        if (m_roster.homes().is_home(service, limits.max_connections)) {
+            served.insert(service);
+        }
+    }
+    m_proxy.set_served(std::move(served), boot_now());
+    run_actions();
+}
+
+void edge_process::on_client_closed(session_id id)
+{
+    m_held_starts.erase(id);
+    if (m_forwarder.owns(id)) {
+        m_forwarder.on_client_closed(id);
+        return;
+    }
+    m_proxy.on_client_closed(id, boot_now());
+    run_actions();
+}
+
+void edge_process::on_tick()
+{
+    const time_point now = boot_now();
+    m_proxy.on_tick(now);
+    retry_held_starts();
+    m_forwarder.on_tick(now);
+    run_actions();
+    if (m_stop_limit && ((m_sessions_ended && m_forwarder.size() == 0) || now >= *m_stop_limit)) {
+        log().info("stopped: no client is connected any more, or the grace period is over");
+        QCoreApplication::quit();
+    }
+    m_output.flush();
 }
 
 bool edge_process::start()
@@ -126,10 +264,14 @@
                      {"port", static_cast<std::uint64_t>(m_settings.clients.port)}});
         return false;
     }
-    if (m_settings.first_internal_port &&
-        !m_metrics_endpoint.listen(m_settings.clients.host, *m_settings.first_internal_port)) {
+    if (!m_metrics_endpoint.listen(m_settings.clients.host, m_settings.metrics_port)) {
         log().warn("metrics are not served: their port is in use");
     }
+    if (!m_forwarding_daemons.listen(m_settings.clients.host, m_settings.forwarding_port)) {
+        log().error("cannot listen for other daemons",
+                    {{"port", static_cast<std::uint64_t>(m_settings.forwarding_port)}});
+        return false;
+    }
     log().info("started", {{"daemon", m_settings.name},
                            {"domain", m_settings.domain},
                            {"store", m_settings.store.host}});
@@ -156,17 +298,17 @@
 
 void edge_process::run(proxy::send_answer& next)
 {
-    m_clients.send_answer(next.session, next.content);
+    listener_of(next.session).send_answer(next.session, next.content);
 }
 
 void edge_process::run(proxy::send_start_answer& next)
 {
-    m_clients.send_start_answer(next.session, next.content);
+    listener_of(next.session).send_start_answer(next.session, next.content);
 }
 
 void edge_process::run(proxy::close_session& next)
 {
-    m_clients.close(next.session);
+    listener_of(next.session).close(next.session);
 }
 
 void edge_process::run(proxy::open_link& next)
@@ -218,8 +360,7 @@
 
 void edge_process::run(proxy::shutdown_complete& /*next*/)
 {
-    log().info("stopped: no client is connected any more, or the grace period is over");
-    QCoreApplication::quit();
+    m_sessions_ended = true;
 }
 
 void edge_process::on_signal(int number)
@@ -230,7 +371,13 @@
     }
     log().info("stopping: transactions end, idle sessions are closed bit by bit",
                {{"signal", static_cast<std::int64_t>(number)}});
-    m_proxy.begin_shutdown(boot_now());
+    const time_point now = boot_now();
+    if (!m_stop_limit) {
+        m_stop_limit = now + m_settings.shutdown_grace - stop_margin;
+    }
+    m_forwarding_daemons.stop_listening();
+    m_forwarder.begin_shutdown(now);
+    m_proxy.begin_shutdown(now);
     run_actions();
 }
 
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "client_listener.h"
+#include "daemon_roster.h"
 #include "edge_metrics.h"
 #include "http_responder.h"
 #include "line_logger.h"
 #include "promotion_caller.h"
 #include "server_links.h"
+#include "session_forwarder.h"
 #include "store_follower.h"
 
 #include "gypsumstep/adapter/node_settings.h"
@@ -18,6 +20,7 @@
 #include <QObject>
 #include <QTimer>
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -34,6 +37,12 @@
     [[nodiscard]] bool start();
 
 private:
+    /// A forwarded session whose daemon has a newer configuration than this one.
+    struct held_start {
+        adapter::start_message message;
+        time_point limit{};
+    };
+
     void run_actions();
     void run(proxy::send_answer& next);
     void run(proxy::send_start_answer& next);
@@ -46,6 +55,15 @@
     void run(proxy::decision& next);
     void run(proxy::statement_finished& next);
     void run(proxy::shutdown_complete& next);
+    client_events events_of_clients();
+    client_events events_of_daemons();
+    client_listener& listener_of(session_id id);
+    void on_client_started(session_id id, const adapter::start_message& message);
+    void on_client_closed(session_id id);
+    void on_forwarded_start(session_id id, const adapter::start_message& message);
+    void retry_held_starts();
+    void update_served();
+    void on_tick();
     void on_signal(int number);
     void reload();
     adapter::http_response respond_readiness(const std::string& path);
@@ -57,7 +75,10 @@
     metrics::registry m_registry;
     edge_metrics m_metrics;
     proxy::proxy m_proxy;
+    daemon_roster m_roster;
     client_listener m_clients;
+    client_listener m_forwarding_daemons; ///< sessions that other daemons forward
+    session_forwarder m_forwarder;
     server_links m_servers;
     store_follower m_store;
     promotion_caller m_promotions;
@@ -67,6 +88,9 @@
     QTimer m_tick;
     bool m_was_ready{false};
     bool m_running_actions{false};
+    bool m_sessions_ended{false}; ///< of the proxy, during a shutdown
+    std::optional<time_point> m_stop_limit;
+    std::map<session_id, held_start> m_held_starts;
 };
 
 } // namespace gypsumstep::edge
--- a/packages/edge/src/promotion_caller.cpp
+++ b/packages/edge/src/promotion_caller.cpp
@@ -4,7 +4,6 @@
 
 #include "gypsumstep/logging/logging.h"
 
-#include <algorithm>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -15,15 +14,6 @@
 /// One call to the store or the platform; the promotion is tried again after it.
 constexpr duration call_limit = 1s;
 
-/// Between announcements of this daemon; each is a paid call.
-constexpr std::chrono::seconds announcement_interval{20};
-
-/// Announcements older than this are of daemons that ended; two may be lost.
-constexpr promotion::store_time announcement_lifetime{45'000};
-
-/// Pause before an announcement that failed is repeated.
-constexpr std::chrono::seconds announcement_retry{2};
-
 const logging::logger& log()
 {
     static const logging::logger instance{"promotion"};
@@ -53,23 +43,11 @@
 } // namespace
 
 promotion_caller::promotion_caller(const adapter::node_settings& settings, proxy::proxy& told,
-                                   std::function<void()> after_event)
-    : m_daemon{settings.name}, m_proxy{told}, m_after_event{std::move(after_event)},
-      m_store{settings.store.host, settings.store.port}, m_platform{settings.platform_api.host,
-                                                                    settings.platform_api.port}
-{
-    m_next_announcement.setSingleShot(true);
-    connect(&m_next_announcement, &QTimer::timeout, this, [this] { announce(); });
-}
-
-void promotion_caller::announce()
+                                   home_count homes, std::function<void()> after_event)
+    : m_daemon{settings.name}, m_proxy{told}, m_home_count{std::move(homes)},
+      m_after_event{std::move(after_event)}, m_store{settings.store.host, settings.store.port},
+      m_platform{settings.platform_api.host, settings.platform_api.port}
 {
-    const promotion::announcement value{m_daemon, store_now()};
-    m_store.call(adapter::write_announcement(value), call_limit, [this](const auto& response) {
-        const auto outcome = outcome_of("could not announce this daemon", "", response);
-        m_next_announcement.start(outcome == promotion::call_outcome::done ? announcement_interval
-                                                                           : announcement_retry);
-    });
 }
 
 void promotion_caller::run(const proxy::promotion_step& wanted)
@@ -91,10 +69,6 @@
 void promotion_caller::set_store_clock(promotion::store_time now)
 {
     m_clock_offset = now - local_now();
-    if (!m_clock_known) {
-        m_clock_known = true;
-        announce();
-    }
 }
 
 promotion::store_time promotion_caller::store_now() const
@@ -103,32 +77,6 @@
 }
 
 void promotion_caller::read_state(const std::string& service)
-{
-    m_store.call(adapter::read_announcements(), call_limit, [this, service](const auto& response) {
-        std::vector<std::string> malformed;
-        const auto read = response.has_error()
-                              ? result<std::vector<promotion::announcement>>{response.error()}
-                              : adapter::decode_announcements(response.value(), malformed);
-        if (read.has_error()) {
-            log().warn("could not read the daemons' announcements",
-                       {{"cause", read.error().message}});
-        }
-        else {
-            const auto oldest = store_now() - announcement_lifetime;
-            m_daemons = static_cast<std::size_t>(
-                std::count_if(read.value().begin(), read.value().end(),
-                              [oldest](const promotion::announcement& each) {
-                                  return each.announced_at >= oldest;
-                              }));
-        }
-        for (const std::string& each : malformed) {
-            log().warn("ignored a malformed row", {{"service", service}, {"row", each}});
-        }
-    });
-    read_promotion(service);
-}
-
-void promotion_caller::read_promotion(const std::string& service)
 {
     m_store.call(
         adapter::read_promotion(service), call_limit, [this, service](const auto& response) {
@@ -143,7 +91,7 @@
             }
             else {
                 state = read.value();
-            state->daemons = m_daemons;
+                state->daemons = m_home_count(service);
                 set_store_clock(state->now);
             }
             for (const std::string& each : malformed) {
--- a/packages/edge/src/promotion_caller.h
+++ b/packages/edge/src/promotion_caller.h
@@ -8,8 +8,6 @@
 #include "gypsumstep/proxy/actions.h"
 #include "gypsumstep/proxy/proxy.h"
 
-#include <QTimer>
-
 #include <functional>
 #include <string>
 
@@ -18,8 +16,11 @@
 /// Calls the store and the platform and hands the outcomes to the proxy.
 class promotion_caller : public QObject {
 public:
+    /// Number of daemons that connect to a group's servers.
+    using home_count = std::function<std::size_t(const std::string& service)>;
+
     /// \param after_event called after the proxy was told something
-    promotion_caller(const adapter::node_settings& settings, proxy::proxy& told,
+    promotion_caller(const adapter::node_settings& settings, proxy::proxy& told, home_count homes,
                      std::function<void()> after_event);
 
     void run(const proxy::promotion_step& wanted);
@@ -29,22 +30,18 @@
 
 private:
     [[nodiscard]] promotion::store_time store_now() const;
-    void announce();
     void read_state(const std::string& service);
-    void read_promotion(const std::string& service);
     void report_suspicion(const std::string& service, const std::string& primary);
     void write_claim(const std::string& service, const promotion::write_claim& wanted);
     void order(const std::string& service, const promotion::order_promotion& wanted);
 
     std::string m_daemon;
     proxy::proxy& m_proxy;
+    home_count m_home_count;
     std::function<void()> m_after_event;
     http_caller m_store;
     http_caller m_platform;
     promotion::store_time m_clock_offset{0}; ///< the store's clock less this VM's
-    bool m_clock_known{false};
-    QTimer m_next_announcement;
-    std::size_t m_daemons{0}; ///< that announced themselves lately
 };
 
 } // namespace gypsumstep::edge
--- /dev/null
+++ b/packages/homes/src/home_table.cpp
@@ -0,0 +1,124 @@
+#include "gypsumstep/homes/home_table.h"
+
+#include "gypsumstep/base/random.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace gypsumstep::homes {
+namespace {
+
+/// FNV-1a, the same on every machine.
+std::uint64_t hash_of(std::string_view text)
+{
+    constexpr std::uint64_t offset = 14695981039346656037ULL;
+    constexpr std::uint64_t prime = 1099511628211ULL;
+    std::uint64_t hash = offset;
+    for (const char each : text) {
+        hash = (hash ^ static_cast<unsigned char>(each)) * prime;
+    }
+    return hash;
+}
+
+std::uint64_t weight(const daemon_entry& daemon, std::string_view service)
+{
+    return mix(hash_of(daemon.name), hash_of(service));
+}
+
+} // namespace
+
+home_table::home_table(std::string self, std::string domain,
+                       std::map<std::string, std::string, std::less<>> regions)
+    : m_self{std::move(self)}, m_domain{std::move(domain)}, m_regions{std::move(regions)}
+{
+    set_daemons({});
+}
+
+void home_table::set_daemons(std::vector<daemon_entry> daemons)
+{
+    m_daemons = std::move(daemons);
+    const bool listed =
+        std::any_of(m_daemons.begin(), m_daemons.end(),
+                    [this](const daemon_entry& each) { return each.name == m_self; });
+    if (!listed) {
+        m_daemons.push_back({m_self, m_domain, "", 0});
+    }
+    std::sort(m_daemons.begin(), m_daemons.end());
+}
+
+std::vector<daemon_entry> home_table::homes_of(std::string_view service,
+                                               std::uint32_t max_connections) const
+{
+    const std::size_t affordable = std::max<std::size_t>(1, max_connections / connections_per_home);
+    if (max_connections == 0 || m_daemons.size() <= affordable) {
+        return m_daemons;
+    }
+    std::map<std::string, std::vector<daemon_entry>> by_domain;
+    for (const daemon_entry& each : m_daemons) {
+        by_domain[each.domain].push_back(each);
+    }
+    std::vector<daemon_entry> homes;
+    for (auto& [domain, members] : by_domain) {
+        std::sort(members.begin(), members.end(),
+                  [&](const daemon_entry& left, const daemon_entry& right) {
+                      return weight(left, service) > weight(right, service);
+                  });
+    }
+    // The first of every domain, then the second ones, as far as the servers have room.
+    for (std::size_t place = 0; place < homes_per_domain; ++place) {
+        for (const auto& [domain, members] : by_domain) {
+            if (place < members.size() && homes.size() < affordable) {
+                homes.push_back(members[place]);
+            }
+        }
+    }
+    return homes;
+}
+
+bool home_table::is_home(std::string_view service, std::uint32_t max_connections) const
+{
+    const auto homes = homes_of(service, max_connections);
+    return std::any_of(homes.begin(), homes.end(),
+                       [this](const daemon_entry& each) { return each.name == m_self; });
+}
+
+std::vector<daemon_entry> home_table::forwarding_order(std::string_view service,
+                                                       std::uint32_t max_connections,
+                                                       std::uint64_t turn, time_point now) const
+{
+    std::vector<daemon_entry> homes = homes_of(service, max_connections);
+    std::erase_if(homes, [this](const daemon_entry& each) { return each.name == m_self; });
+    const auto key = [&](const daemon_entry& each) {
+        const auto found = m_failed.find(each.name);
+        const bool failing = found != m_failed.end() && now - found->second < failure_pause;
+        return std::tuple{failing, distance_to(each.domain), mix(hash_of(each.name), turn)};
+    };
+    std::sort(homes.begin(), homes.end(), [&](const daemon_entry& left, const daemon_entry& right) {
+        return key(left) < key(right);
+    });
+    return homes;
+}
+
+void home_table::failed(const std::string& daemon, time_point now)
+{
+    m_failed[daemon] = now;
+}
+
+void home_table::answered(const std::string& daemon)
+{
+    m_failed.erase(daemon);
+}
+
+int home_table::distance_to(const std::string& domain) const
+{
+    if (domain == m_domain) {
+        return 0;
+    }
+    const auto there = m_regions.find(domain);
+    const auto here = m_regions.find(m_domain);
+    const bool same_region =
+        there != m_regions.end() && here != m_regions.end() && there->second == here->second;
+    return same_region ? 1 : 2;
+}
+
+} // namespace gypsumstep::homes
--- /dev/null
+++ b/packages/homes/tests/test_home_table.cpp
@@ -0,0 +1,124 @@
+// Tests of choosing homes.
+#include "gypsumstep/homes/home_table.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace gypsumstep;
+using namespace gypsumstep::homes;
+
+namespace {
+
+const time_point start{100s};
+
+const std::map<std::string, std::string, std::less<>> regions{
+    {"a", "north"}, {"b", "north"}, {"c", "south"}};
+
+std::vector<daemon_entry> make_daemons(std::size_t per_domain)
+{
+    std::vector<daemon_entry> made;
+    for (const char* domain : {"a", "b", "c"}) {
+        for (std::size_t i = 0; i < per_domain; ++i) {
+            made.push_back({std::string{domain} + std::to_string(i), domain, "10.0.0.1", 1});
+        }
+    }
+    return made;
+}
+
+home_table make_table(const std::string& self, std::size_t per_domain)
+{
+    home_table table{self, self.substr(0, 1), regions};
+    table.set_daemons(make_daemons(per_domain));
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("every daemon is a home while the servers have room for all")
+{
+    const home_table table = make_table("a0", 3);
+    CHECK(table.homes_of("ledger", 36).size() == 9);
+    CHECK(table.is_home("ledger", 36));
+    CHECK(table.homes_of("ledger", 0).size() == 9);
+}
+
+TEST_CASE("homes fit into the servers' connections and lie in every domain")
+{
+    const home_table table = make_table("a0", 20);
+    const auto homes = table.homes_of("ledger", 53);
+    CHECK(homes.size() == 6);
+    std::set<std::string> domains;
+    for (const daemon_entry& each : homes) {
+        domains.insert(each.domain);
+    }
+    CHECK(domains.size() == 3);
+    CHECK(table.homes_of("ledger", 17).size() == 4);
+}
+
+TEST_CASE("all daemons agree on the homes, whatever the order of the list")
+{
+    const home_table first = make_table("a0", 20);
+    home_table second{"c7", "c", regions};
+    auto daemons = make_daemons(20);
+    std::reverse(daemons.begin(), daemons.end());
+    second.set_daemons(daemons);
+    CHECK(first.homes_of("ledger", 53) == second.homes_of("ledger", 53));
+}
+
+TEST_CASE("groups have different homes")
+{
+    const home_table table = make_table("a0", 20);
+    std::set<std::string> names;
+    for (const char* service : {"s1", "s2", "s3", "s4", "s5", "s6"}) {
+        for (const daemon_entry& each : table.homes_of(service, 53)) {
+            names.insert(each.name);
+        }
+    }
+    CHECK(names.size() >= 20);
+}
+
+TEST_CASE("a lost daemon moves only its own part of the homes")
+{
+    home_table table = make_table("a0", 20);
+    const auto before = table.homes_of("ledger", 53);
+    auto daemons = make_daemons(20);
+    std::erase_if(daemons, [&](const daemon_entry& each) { return each == before.front(); });
+    table.set_daemons(daemons);
+    const auto after = table.homes_of("ledger", 53);
+    std::size_t kept = 0;
+    for (const daemon_entry& each : before) {
+        kept += std::find(after.begin(), after.end(), each) != after.end() ? 1 : 0;
+    }
+    CHECK(kept == before.size() - 1);
+}
+
+TEST_CASE("near homes are tried first, failed ones last")
+{
+    home_table table = make_table("a0", 20);
+    auto order = table.forwarding_order("ledger", 53, 1, start);
+    REQUIRE(order.size() >= 4);
+    CHECK(order.front().domain == "a");
+    CHECK(order.back().domain == "c");
+    const std::string first = order.front().name;
+    table.failed(first, start);
+    order = table.forwarding_order("ledger", 53, 1, start + 10ms);
+    CHECK(order.back().name == first);
+    order = table.forwarding_order("ledger", 53, 1, start + home_table::failure_pause);
+    CHECK(order.front().name == first);
+}
+
+TEST_CASE("sessions are spread over the homes of the domain")
+{
+    const home_table table = make_table("a0", 20);
+    std::size_t near = 0;
+    for (const daemon_entry& each : table.homes_of("ledger", 53)) {
+        near += each.domain == "a" && each.name != "a0" ? 1 : 0;
+    }
+    std::set<std::string> firsts;
+    for (std::uint64_t turn = 0; turn < 40; ++turn) {
+        firsts.insert(table.forwarding_order("ledger", 53, turn, start).front().name);
+    }
+    CHECK(firsts.size() == near);
+}
--- a/packages/promotion/include/gypsumstep/promotion/claim.h
+++ b/packages/promotion/include/gypsumstep/promotion/claim.h
@@ -35,20 +35,12 @@
     friend bool operator==(const suspicion&, const suspicion&) = default;
 };
 
-/// One daemon's announcement that it runs.
-struct announcement {
-    std::string daemon;
-    store_time announced_at{0};
-
-    friend bool operator==(const announcement&, const announcement&) = default;
-};
-
 /// The rows of one group, read at one moment.
 struct shared_state {
     std::optional<claim> current;
     std::uint64_t claim_version{0}; ///< of the claim's row; 0 if there is none
     std::vector<suspicion> suspicions;
-    std::size_t daemons{0}; ///< that announced themselves lately; 0 if unknown
+    std::size_t daemons{0}; ///< that connect to the group's servers; 0 if unknown
     store_time now{0};
 
     friend bool operator==(const shared_state&, const shared_state&) = default;
--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -79,8 +79,8 @@
 
 bool coordinator::has_quorum(const shared_state& state) const
 {
-    const auto suspecting = std::count_if(
-        state.suspicions.begin(), state.suspicions.end(), [&](const suspicion& each) {
+    const auto suspecting =
+        std::count_if(state.suspicions.begin(), state.suspicions.end(), [&](const suspicion& each) {
             return each.primary == m_group.primary &&
                    state.now - each.reported_at < suspicion_lifetime;
         });
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -16,6 +16,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +55,10 @@
     void on_configuration(directory::configuration next, time_point now);
     void on_servers(const std::vector<directory::server_entry>& listing, time_point now);
 
+    /// The groups whose servers this daemon connects to without being asked by a session;
+    /// all groups before the first call.
+    void set_served(std::set<std::string, std::less<>> services, time_point now);
+
     // Steps of promotions.
     void on_shared_state(const std::string& service,
                          const std::optional<promotion::shared_state>& state, time_point now);
@@ -180,6 +186,8 @@
               std::vector<std::pair<const char*, std::string>> inputs);
     [[nodiscard]] std::string name_of(server_id id) const;
 
+    [[nodiscard]] bool serves(const std::string& service) const;
+
     session* find_session(session_id id);
     link* find_link(link_id id);
     server* find_server(server_id id);
@@ -193,6 +201,7 @@
     random_source m_random;
     directory::route_table m_routes;
     directory::server_directory m_directory;
+    std::optional<std::set<std::string, std::less<>>> m_served;
     std::map<session_id, std::unique_ptr<session>> m_sessions;
     std::map<link_id, std::unique_ptr<link>> m_links;
     std::map<server_id, std::unique_ptr<server>> m_servers;
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -101,8 +101,8 @@
     made.limit = limit_of(chosen, work);
     made.usual_time = chosen.usual_time;
     made.needs_connection = !has_idle_link(chosen);
-    made.expects_lag_refusal = chosen.applied < *work.at_least &&
-                               chosen.lag.expects_refusal(*work.at_least, now);
+    made.expects_lag_refusal =
+        chosen.applied < *work.at_least && chosen.lag.expects_refusal(*work.at_least, now);
     return made;
 }
 
--- a/packages/proxy/src/groups.cpp
+++ b/packages/proxy/src/groups.cpp
@@ -81,10 +81,27 @@
         dispatch(*each, now);
     }
     for (const server_id id : change.added) {
-        open_link_if_useful(*find_server(id), now);
+        if (serves(find_server(id)->service)) {
+            open_link_if_useful(*find_server(id), now);
+        }
     }
 }
 
+void proxy::set_served(std::set<std::string, std::less<>> services, time_point now)
+{
+    m_served = std::move(services);
+    for (auto& [id, each] : m_servers) {
+        if (each->links.empty() && serves(each->service)) {
+            open_link_if_useful(*each, now);
+        }
+    }
+}
+
+bool proxy::serves(const std::string& service) const
+{
+    return !m_served || m_served->contains(service);
+}
+
 dispatch::proximity proxy::proximity_of(const std::string& domain) const
 {
     if (domain == m_options.domain) {
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -19,8 +19,8 @@
     if (m_directory.has_missing()) {
         return true;
     }
-    return std::any_of(m_groups.begin(), m_groups.end(), [](const auto& each) {
-        return !each.second->leader || each.second->promotion.in_progress();
+    return std::any_of(m_groups.begin(), m_groups.end(), [this](const auto& each) {
+        return serves(each.first) && (!each.second->leader || each.second->promotion.in_progress());
     });
 }
 
--- a/packages/proxy/src/upkeep.cpp
+++ b/packages/proxy/src/upkeep.cpp
@@ -46,9 +46,11 @@
     for (auto& [name, each] : m_groups) {
         choose_leader(*each, now);
         check_queue(*each, now);
-        keep_leader_link(*each, now);
         dispatch(*each, now);
-        update_promotion(*each, now);
+        if (serves(name)) {
+            keep_leader_link(*each, now);
+            update_promotion(*each, now);
+        }
     }
     for (auto next = m_servers.begin(); next != m_servers.end();) {
         server& each = *next->second;
@@ -80,7 +82,9 @@
         switch (each->phase) {
         case link_phase::idle:
             if (now - each->idle_since >= m_options.connection_rest &&
-                find_server(each->server)->links.size() > m_options.resting_connections) {
+                find_server(each->server)->links.size() >
+                    (serves(find_server(each->server)->service) ? m_options.resting_connections
+                                                                : 0)) {
                 drop_link(id, "it was not needed", now);
             }
             break;
