Estimate replica lag by age, and run a program of its own on the platform

Change: the lag is kept as a time and compared with the age of what a read needs; the daemon on the platform is gypsumstep-edge.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,9 +1,6 @@
 // gypsumstepd: database proxy with session consistency.
 #include "daemon_process.h"
 
-#include "run_edge.h"
-
-#include "gypsumstep/adapter/node_settings.h"
 #include "gypsumstep/logging/logging.h"
 #include "gypsumstep/logging/redaction.h"
 #include "gypsumstep/settings/settings.h"
@@ -16,7 +13,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <cstdlib>
 #include <string_view>
 
 // NOLINTBEGIN: absl's macros define globals
@@ -69,11 +65,6 @@
                                  "  gypsumstepd --settings=FILE [--check-settings]");
     accept_dashes(argc, argv);
     absl::ParseCommandLine(argc, argv);
-    // On the users' platform the settings file is named by the environment.
-    const char* const placed = std::getenv(adapter::settings_variable);
-    if (placed != nullptr && absl::GetFlag(FLAGS_settings).empty()) {
-        return edge::run_edge(argc, argv, placed, absl::GetFlag(FLAGS_check_settings));
-    }
     auto loaded = settings::load_file(absl::GetFlag(FLAGS_settings));
     for (const finding& problem : loaded.problems) {
         std::fprintf(stderr, "%s\n", to_string(problem).c_str());
--- a/packages/dispatch/include/gypsumstep/dispatch/server_choice.h
+++ b/packages/dispatch/include/gypsumstep/dispatch/server_choice.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "gypsumstep/base/ids.h"
-#include "gypsumstep/base/position.h"
 #include "gypsumstep/base/time.h"
 
 #include <cstdint>
@@ -15,22 +14,23 @@
 /// How far a server is from this daemon.
 enum class proximity : std::uint8_t { same_domain, same_region, remote };
 
-/// Remembers which positions a replica did not have yet.
-class lag_memory {
+/// Estimates how far a replica is behind, from what it refused and served.
+class replica_lag {
 public:
-    /// The server refused a read since its log lacks \p wanted.
-    void refused(const log_position& wanted, time_point now);
+    /// The server refused a read of what the primary had \p age ago.
+    void refused(duration age, time_point now);
 
-    /// The server ran a read that had to see \p wanted.
-    void served(const log_position& wanted);
+    /// The server ran a read of what the primary had \p age ago.
+    void served(duration age);
 
-    /// True if the server would probably refuse \p wanted again.
-    [[nodiscard]] bool expects_refusal(const log_position& wanted, time_point now) const;
+    /// True if the server would probably refuse a read of that age. False once in a while
+    /// for a lagging server, so that it is noticed when it caught up.
+    [[nodiscard]] bool expects_refusal(duration age, time_point now) const;
 
 private:
-    std::optional<log_position> m_refused;
-    time_point m_try_again{};
+    duration m_lag{0};
     duration m_wait{0};
+    time_point m_try_again{};
 };
 
 /// One server of the group, as a choice.
--- a/packages/dispatch/src/server_choice.cpp
+++ b/packages/dispatch/src/server_choice.cpp
@@ -5,13 +5,16 @@
 namespace gypsumstep::dispatch {
 namespace {
 
-/// First pause before a replica that lagged is asked for the same position again: about
-/// the usual replication delay.
+/// First pause before a replica that lagged is tried again: about the usual replication
+/// delay.
 constexpr duration first_lag_wait = 10ms;
 
 /// Longest such pause; bounds how long a replica that caught up stays unused.
 constexpr duration longest_lag_wait = 320ms;
 
+/// A refused read shows that the lag is longer than its age by an unknown time.
+constexpr duration lag_step = 5ms;
+
 /// Bytes between regions are paid for; a remote replica has to be this much faster.
 constexpr duration remote_penalty = 30ms;
 
@@ -51,25 +54,24 @@
 
 } // namespace
 
-void lag_memory::refused(const log_position& wanted, time_point now)
+void replica_lag::refused(duration age, time_point now)
 {
-    m_wait = m_refused ? std::min(m_wait * 2, longest_lag_wait) : first_lag_wait;
-    if (!m_refused || wanted < *m_refused) {
-        m_refused = wanted;
-    }
+    m_lag = std::max(m_lag, age + lag_step);
+    m_wait = m_wait == duration{0} ? first_lag_wait : std::min(m_wait * 2, longest_lag_wait);
     m_try_again = now + m_wait;
 }
 
-void lag_memory::served(const log_position& wanted)
+void replica_lag::served(duration age)
 {
-    if (m_refused && wanted >= *m_refused) {
-        m_refused.reset();
+    if (age < m_lag) {
+        m_lag = age;
+        m_wait = duration{0};
     }
 }
 
-bool lag_memory::expects_refusal(const log_position& wanted, time_point now) const
+bool replica_lag::expects_refusal(duration age, time_point now) const
 {
-    return m_refused && wanted >= *m_refused && now < m_try_again;
+    return age < m_lag && now < m_try_again;
 }
 
 std::optional<server_id> choose_for_read(std::span<const candidate> candidates)
--- a/packages/dispatch/tests/test_server_choice.cpp
+++ b/packages/dispatch/tests/test_server_choice.cpp
@@ -23,18 +23,24 @@
     return made;
 }
 
-log_position at(std::uint64_t index)
+} // namespace
+
+TEST_CASE("a replica is preferred to a primary at the same distance")
 {
-    return {term{1}, index};
+    std::vector<candidate> servers{make_candidate(1, proximity::same_region),
+                                   make_candidate(2, proximity::same_region)};
+    servers[0].is_primary = true;
+    CHECK(choose_for_read(servers) == server_id{2});
 }
 
-} // namespace
-
-TEST_CASE("a replica is preferred to the primary")
+TEST_CASE("a near primary serves reads while it is idle, a remote replica once it is not")
 {
     std::vector<candidate> servers{make_candidate(1, proximity::same_domain),
                                    make_candidate(2, proximity::remote)};
     servers[0].is_primary = true;
+    servers[1].usual_time = 70ms; // the way to another region and back
+    CHECK(choose_for_read(servers) == server_id{1});
+    servers[0].in_flight = 2;
     CHECK(choose_for_read(servers) == server_id{2});
 }
 
@@ -66,17 +72,18 @@
     CHECK_FALSE(choose_for_read(servers));
 }
 
-TEST_CASE("a replica that lagged is not asked for the same position at once")
+TEST_CASE("a replica that lagged is not asked for younger data at once")
 {
-    lag_memory lag;
-    CHECK_FALSE(lag.expects_refusal(at(10), start));
-    lag.refused(at(10), start);
-    CHECK(lag.expects_refusal(at(10), start + 1ms));
-    CHECK(lag.expects_refusal(at(11), start + 1ms));
-    CHECK_FALSE(lag.expects_refusal(at(9), start + 1ms));
-    CHECK_FALSE(lag.expects_refusal(at(10), start + 1s));
-    lag.served(at(11));
-    CHECK_FALSE(lag.expects_refusal(at(11), start + 1ms));
+    replica_lag lag;
+    CHECK_FALSE(lag.expects_refusal(0ms, start));
+    lag.refused(100ms, start);
+    CHECK(lag.expects_refusal(50ms, start + 1ms));
+    CHECK(lag.expects_refusal(100ms, start + 1ms));
+    CHECK_FALSE(lag.expects_refusal(200ms, start + 1ms));
+    CHECK_FALSE(lag.expects_refusal(50ms, start + 1s));
+    lag.served(60ms);
+    CHECK_FALSE(lag.expects_refusal(60ms, start + 1ms));
+    CHECK(lag.expects_refusal(50ms, start + 1ms));
 }
 
 TEST_CASE("a statement that would wait longer than it can is refused with a time to return")
--- a/packages/freshness/include/gypsumstep/freshness/watermark_history.h
+++ b/packages/freshness/include/gypsumstep/freshness/watermark_history.h
@@ -22,10 +22,19 @@
 struct read_bound {
     time_point acknowledged_before;         ///< every commit acknowledged earlier than this
     std::optional<log_position> own_commit; ///< and the session's own last commit
+    time_point own_commit_at{};             ///< when that was acknowledged
 
     friend bool operator==(const read_bound&, const read_bound&) = default;
 };
 
+/// A position that a server must have, and when the primary had it.
+struct required_position {
+    log_position position;
+    time_point since;
+
+    friend bool operator==(const required_position&, const required_position&) = default;
+};
+
 /// The recent watermarks of one database group.
 ///
 /// Times come from a clock that also counts while the VM is suspended; otherwise a
@@ -43,7 +52,7 @@
     /// The lowest position that satisfies \p bound; nothing if a new proof is needed.
     ///
     /// The lowest one is chosen so that replicas that are a little behind still serve.
-    [[nodiscard]] std::optional<log_position> position_for(const read_bound& bound) const;
+    [[nodiscard]] std::optional<required_position> position_for(const read_bound& bound) const;
 
     /// Drops everything: the present primary's log does not have these positions.
     void clear() { m_marks.clear(); }
--- a/packages/freshness/src/watermark_history.cpp
+++ b/packages/freshness/src/watermark_history.cpp
@@ -48,7 +48,7 @@
     }
 }
 
-std::optional<log_position> watermark_history::position_for(const read_bound& bound) const
+std::optional<required_position> watermark_history::position_for(const read_bound& bound) const
 {
     const auto found = std::lower_bound(
         m_marks.begin(), m_marks.end(), bound.acknowledged_before,
@@ -58,10 +58,11 @@
     }
     // A commit of an older term is contained in the newer term's first position, or was
     // rolled back by the promotion.
-    if (bound.own_commit && bound.own_commit->entry_term >= found->position.entry_term) {
-        return std::max(found->position, *bound.own_commit);
+    if (bound.own_commit && bound.own_commit->entry_term >= found->position.entry_term &&
+        *bound.own_commit > found->position) {
+        return required_position{*bound.own_commit, bound.own_commit_at};
     }
-    return found->position;
+    return required_position{found->position, found->complete_until};
 }
 
 std::optional<watermark> watermark_history::newest() const
--- a/packages/freshness/tests/test_watermark_history.cpp
+++ b/packages/freshness/tests/test_watermark_history.cpp
@@ -15,14 +15,21 @@
     return {term{term_number}, index};
 }
 
+/// The position alone; nothing if a new proof is needed.
+std::optional<log_position> position_in(const watermark_history& history, const read_bound& bound)
+{
+    const auto found = history.position_for(bound);
+    return found ? std::optional{found->position} : std::nullopt;
+}
+
 } // namespace
 
 TEST_CASE("no watermark is used for a moment that it does not cover")
 {
     watermark_history history{2s};
     history.add({at(1, 10), start}, start);
-    CHECK(history.position_for({start, {}}) == at(1, 10));
-    CHECK_FALSE(history.position_for({start + 1us, {}}));
+    CHECK(position_in(history, {start, {}, {}}) == at(1, 10));
+    CHECK_FALSE(position_in(history, {start + 1us, {}, {}}));
 }
 
 TEST_CASE("the oldest sufficient watermark is chosen")
@@ -32,16 +39,16 @@
         const time_point moment = start + i * 100ms;
         history.add({at(1, 10 + static_cast<std::uint64_t>(i)), moment}, moment);
     }
-    CHECK(history.position_for({start + 150ms, {}}) == at(1, 12));
-    CHECK(history.position_for({start - 1s, {}}) == at(1, 10));
+    CHECK(position_in(history, {start + 150ms, {}, {}}) == at(1, 12));
+    CHECK(position_in(history, {start - 1s, {}, {}}) == at(1, 10));
 }
 
 TEST_CASE("a session's own commit raises the position")
 {
     watermark_history history{2s};
     history.add({at(1, 10), start}, start);
-    CHECK(history.position_for({start, at(1, 17)}) == at(1, 17));
-    CHECK(history.position_for({start, at(1, 3)}) == at(1, 10));
+    CHECK(position_in(history, {start, at(1, 17), {}}) == at(1, 17));
+    CHECK(position_in(history, {start, at(1, 3), {}}) == at(1, 10));
 }
 
 TEST_CASE("a promotion drops positions that may have been rolled back")
@@ -49,9 +56,9 @@
     watermark_history history{10s};
     history.add({at(1, 50), start}, start);
     history.add({at(2, 40), start + 1s}, start + 1s);
-    CHECK(history.position_for({start, {}}) == at(2, 40));
+    CHECK(position_in(history, {start, {}, {}}) == at(2, 40));
     // The session's commit 1/48 was either kept in 2/40's log or rolled back.
-    CHECK(history.position_for({start, at(1, 48)}) == at(2, 40));
+    CHECK(position_in(history, {start, at(1, 48), {}}) == at(2, 40));
 }
 
 TEST_CASE("a late answer of the old term changes nothing")
@@ -59,8 +66,8 @@
     watermark_history history{10s};
     history.add({at(2, 40), start}, start);
     history.add({at(1, 99), start + 1s}, start + 1s);
-    CHECK(history.position_for({start, {}}) == at(2, 40));
-    CHECK_FALSE(history.position_for({start + 1s, {}}));
+    CHECK(position_in(history, {start, {}, {}}) == at(2, 40));
+    CHECK_FALSE(position_in(history, {start + 1s, {}, {}}));
 }
 
 TEST_CASE("answers that cross keep the positions ascending")
@@ -68,8 +75,8 @@
     watermark_history history{10s};
     history.add({at(1, 30), start + 200ms}, start + 250ms);
     history.add({at(1, 31), start + 100ms}, start + 260ms);
-    CHECK(history.position_for({start + 50ms, {}}) == at(1, 30));
-    CHECK(history.position_for({start + 200ms, {}}) == at(1, 30));
+    CHECK(position_in(history, {start + 50ms, {}, {}}) == at(1, 30));
+    CHECK(position_in(history, {start + 200ms, {}, {}}) == at(1, 30));
 }
 
 TEST_CASE("old watermarks are dropped")
@@ -77,5 +84,13 @@
     watermark_history history{1s};
     history.add({at(1, 10), start}, start);
     history.add({at(1, 20), start + 3s}, start + 3s);
-    CHECK(history.position_for({start, {}}) == at(1, 20));
+    CHECK(position_in(history, {start, {}, {}}) == at(1, 20));
+}
+
+TEST_CASE("the age of a position is that of its proof or of the session's commit")
+{
+    watermark_history history{2s};
+    history.add({at(1, 10), start}, start);
+    CHECK(history.position_for({start, {}, {}})->since == start);
+    CHECK(history.position_for({start, at(1, 17), start + 5ms})->since == start + 5ms);
 }
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -46,9 +46,9 @@
     bool opens_transaction{false}; ///< first statement of a transaction
     bool read_only_transaction{false};
     freshness::read_bound bound;
-    std::optional<log_position> at_least; ///< position that the chosen server must have
-    std::set<server_id> avoid;            ///< servers that could not run it
-    time_point not_before{};              ///< pause before the next attempt
+    std::optional<freshness::required_position> at_least; ///< what its server must have
+    std::set<server_id> avoid;                            ///< servers that could not run it
+    time_point not_before{};                              ///< pause before the next attempt
     bool queued{false};
     bool sent{false}; ///< the statement itself, not only what precedes it
     bool hedged{false};
@@ -76,6 +76,7 @@
     statement::session_state state;
     std::optional<transaction> open;
     std::optional<log_position> last_commit;
+    time_point last_commit_at{};
     std::string last_commit_service;
     task_ptr running;
     std::deque<statement::statement> pipelined;
@@ -122,7 +123,7 @@
     std::uint32_t max_links{0};
     time_point max_links_raised{};
     duration usual_time{0};
-    dispatch::lag_memory lag;
+    dispatch::replica_lag lag;
     log_position applied; ///< newest position that it reported
     promotion::server_health health;
     time_point connect_after{};
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -145,6 +145,7 @@
     void add_watermark(group& of, const link& from, const statement::answer& content,
                        time_point sent_at, time_point now);
     void refused_lead(group& of, server& by, time_point now);
+    void refused_position(group& of, server& by, const task_ptr& work, time_point now);
 
     // Ends of statements: statement_end.cpp.
     void on_statement_answer(link& of, statement::answer content, time_point now);
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -249,6 +249,7 @@
     if (route.reads == directory::consistency::read_your_writes &&
         from.last_commit_service == route.service) {
         work->bound.own_commit = from.last_commit;
+        work->bound.own_commit_at = from.last_commit_at;
     }
     return work;
 }
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -64,7 +64,7 @@
         command.kind =
             work->read_only_transaction ? command_kind::begin_read_only : command_kind::begin;
         if (work->read_only_transaction) {
-            command.at_least = work->at_least;
+            command.at_least = work->at_least->position;
         }
         send(of, std::move(command), m_options.own_command_limit, now);
         return;
@@ -76,7 +76,7 @@
         command.value = work->request.value;
     }
     if (!owner->open && work->is_read) {
-        command.at_least = work->at_least;
+        command.at_least = work->at_least->position;
     }
     if (owner->open && !work->is_read && !work->is_commit) {
         owner->open->wrote = true;
@@ -199,24 +199,20 @@
         dispatch(in, now);
         return;
     }
-    const task_ptr work = std::exchange(of.work, nullptr);
     duration pause{0};
     switch (content.error) {
     case error_class::read_only:
         refused_lead(in, at, now);
         break;
     case error_class::lagging:
-        at.lag.refused(*of.command.at_least, now);
-        if (in.leader == at.id) {
-            in.watermarks.clear();
-        }
+        refused_position(in, at, of.work, now);
         break;
     default:
         pause = busy_pause;
         at.avoid_until = now + busy_pause;
         break;
     }
-    if (work) {
+    if (const task_ptr work = std::exchange(of.work, nullptr)) {
         if (session* const owner = find_session(work->session); owner != nullptr && owner->open) {
             owner->open->link.reset();
         }
@@ -241,6 +237,18 @@
     emit(refresh_servers{});
 }
 
+void proxy::refused_position(group& of, server& by, const task_ptr& work, time_point now)
+{
+    if (of.leader == by.id) {
+        // The primary's log lacks it: a promotion rolled it back.
+        of.watermarks.clear();
+        return;
+    }
+    if (work && work->at_least) {
+        by.lag.refused(now - work->at_least->since, now);
+    }
+}
+
 void proxy::add_watermark(group& of, const link& from, const statement::answer& content,
                           time_point sent_at, time_point now)
 {
--- a/packages/proxy/src/statement_end.cpp
+++ b/packages/proxy/src/statement_end.cpp
@@ -91,12 +91,13 @@
     if (committed_write) {
         add_watermark(in, of, content, work->sent_at, now);
         owner.last_commit = content.position;
+        owner.last_commit_at = now;
         owner.last_commit_service = in.service;
     }
     if (work->is_read && !in_transaction) {
         m_hedge_credit = std::min(m_hedge_credit + hedge_share, max_hedge_credit);
         if (work->at_least) {
-            at.lag.served(*work->at_least);
+            at.lag.served(work->sent_at - work->at_least->since);
         }
     }
     const link_id id = of.id;
@@ -146,10 +147,7 @@
         if (!work->at_least) {
             return false;
         }
-        at.lag.refused(*work->at_least, now);
-        if (in.leader == at.id) {
-            in.watermarks.clear();
-        }
+        refused_position(in, at, work, now);
         break;
     case error_class::read_only:
         refused_lead(in, at, now);
