--- a/packages/homes/include/gypsumstep/homes/home_table.h
+++ b/packages/homes/include/gypsumstep/homes/home_table.h
@@ -46,8 +46,17 @@
     /// Homes of a group in each failure domain: one may fail.
     static constexpr std::size_t homes_per_domain = 2;
 
-    /// How long a daemon that did not take a session is passed over.
-    static constexpr duration failure_pause = 1s;
+    /// Connections that a daemon needs to one server at the least. Where the servers admit
+    /// as many from all daemons, nothing is forwarded.
+    static constexpr std::uint32_t min_connections = 2;
+
+    /// More daemons than this are too many for one group in any case: each runs a few
+    /// statements at a time, and together they would only lengthen the servers' queues.
+    static constexpr std::size_t max_direct_daemons = 24;
+
+    /// How long a daemon that did not take a session is passed over. A daemon that ended
+    /// stays announced for longer, and finding it silent costs a session its start.
+    static constexpr duration failure_pause = 5s;
 
     /// \param self this daemon's name
     /// \param regions region of each failure domain
--- a/packages/homes/tests/test_home_table.cpp
+++ b/packages/homes/tests/test_home_table.cpp
@@ -39,8 +39,9 @@
 TEST_CASE("every daemon is a home while the servers have room for all")
 {
     const home_table table = make_table("a0", 3);
-    CHECK(table.homes_of("ledger", 36).size() == 9);
-    CHECK(table.is_home("ledger", 36));
+    CHECK(table.homes_of("ledger", 18).size() == 9);
+    CHECK(table.is_home("ledger", 18));
+    CHECK(table.homes_of("ledger", 17).size() < 9);
     CHECK(table.homes_of("ledger", 0).size() == 9);
 }
 
@@ -55,6 +56,7 @@
     }
     CHECK(domains.size() == 3);
     CHECK(table.homes_of("ledger", 17).size() == 4);
+    CHECK(table.homes_of("ledger", 1000).size() == 6);
 }
 
 TEST_CASE("all daemons agree on the homes, whatever the order of the list")
