Forward nothing while servers have room for two connections a daemon

Cause: nine daemons and an announced dead one were one more than 39 connections by four, so the small site forwarded sessions, some to the dead daemon.

Change: all daemons connect if the servers admit two connections from each and there are at most 24 of them. The tests of homes pass again.

--- a/packages/homes/src/home_table.cpp
+++ b/packages/homes/src/home_table.cpp
@@ -49,10 +49,13 @@
 std::vector<daemon_entry> home_table::homes_of(std::string_view service,
                                                std::uint32_t max_connections) const
 {
-    const std::size_t affordable = std::max<std::size_t>(1, max_connections / connections_per_home);
-    if (max_connections == 0 || m_daemons.size() <= affordable) {
+    const bool room_for_all =
+        max_connections == 0 || (m_daemons.size() <= max_connections / min_connections &&
+                                 m_daemons.size() <= max_direct_daemons);
+    if (room_for_all) {
         return m_daemons;
     }
+    const std::size_t affordable = std::max<std::size_t>(1, max_connections / connections_per_home);
     std::map<std::string, std::vector<daemon_entry>> by_domain;
     for (const daemon_entry& each : m_daemons) {
         by_domain[each.domain].push_back(each);
