--- a/packages/edge/src/main.cpp
+++ b/packages/edge/src/main.cpp
@@ -40,8 +40,9 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("Database proxy with session consistency, on the users' platform.\n"
-                                 "  gypsumstep-edge [--settings=FILE] [--check_settings]");
+    absl::SetProgramUsageMessage(
+        "Database proxy with session consistency, on the users' platform.\n"
+        "  gypsumstep-edge [--settings=FILE] [--check_settings]");
     absl::FlagsUsageConfig usage;
     usage.version_string = [] { return std::string{"gypsumstep-edge " GYPSUMSTEP_VERSION "\n"}; };
     absl::SetFlagsUsageConfig(usage);
--- /dev/null
+++ b/packages/edge/tests/test_http_caller.cpp
@@ -0,0 +1,160 @@
+// Tests of calls over HTTP against a server that cuts, delays and mixes answers.
+#include "http_caller.h"
+#include "http_responder.h"
+
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <optional>
+#include <vector>
+
+using namespace gypsumstep;
+using namespace gypsumstep::edge;
+
+namespace {
+
+QCoreApplication& application()
+{
+    static int count = 1;
+    static std::array<char, 5> name{"test"};
+    static std::array<char*, 2> arguments{name.data(), nullptr};
+    static QCoreApplication instance{count, arguments.data()};
+    return instance;
+}
+
+/// Runs the event loop until \p done returns true, at most a few seconds.
+template <class Done>
+bool run_until(Done&& done)
+{
+    application();
+    QElapsedTimer passed;
+    passed.start();
+    while (!done() && passed.elapsed() < 5000) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+    }
+    return done();
+}
+
+/// Answers each connection with a fixed text, or not at all.
+class scripted_server : public QObject {
+public:
+    explicit scripted_server(std::vector<QByteArray> answers) : m_answers{std::move(answers)}
+    {
+        application();
+        REQUIRE(m_server.listen(QHostAddress::LocalHost, 0));
+        connect(&m_server, &QTcpServer::newConnection, this, [this] {
+            QTcpSocket* const socket = m_server.nextPendingConnection();
+            connect(socket, &QTcpSocket::readyRead, this, [this, socket] {
+                socket->readAll();
+                if (m_next >= m_answers.size()) {
+                    return;
+                }
+                const QByteArray answer = m_answers[m_next++];
+                if (answer.isEmpty()) {
+                    socket->abort();
+                    return;
+                }
+                socket->write(answer);
+            });
+        });
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return m_server.serverPort(); }
+    [[nodiscard]] std::size_t answered() const { return m_next; }
+
+private:
+    QTcpServer m_server;
+    std::vector<QByteArray> m_answers;
+    std::size_t m_next{0};
+};
+
+const QByteArray ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+adapter::http_request get()
+{
+    return {"GET", "/x", {}, {}};
+}
+
+} // namespace
+
+TEST_CASE("calls are answered in their order over one connection")
+{
+    scripted_server server{{ok, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"}};
+    http_caller caller{"127.0.0.1", server.port()};
+    std::vector<std::uint32_t> statuses;
+    for (int i = 0; i < 2; ++i) {
+        caller.call(get(), 2s, [&](const auto& response) {
+            statuses.push_back(response.has_value() ? response.value().status : 0);
+        });
+    }
+    REQUIRE(run_until([&] { return statuses.size() == 2; }));
+    CHECK(statuses == std::vector<std::uint32_t>{200, 404});
+}
+
+TEST_CASE("a call without an answer may have been performed, the next one works")
+{
+    scripted_server server{{"", ok}};
+    http_caller caller{"127.0.0.1", server.port()};
+    std::optional<error_code> first;
+    std::optional<std::uint32_t> second;
+    caller.call(get(), 2s, [&](const auto& response) { first = response.error().code; });
+    caller.call(get(), 2s, [&](const auto& response) { second = response.value().status; });
+    REQUIRE(run_until([&] { return second.has_value(); }));
+    CHECK(first == error_code::timeout);
+    CHECK(second == 200);
+}
+
+TEST_CASE("a connection that went silent is given up in time")
+{
+    scripted_server server{{}};
+    http_caller caller{"127.0.0.1", server.port()};
+    std::optional<error_code> ended;
+    caller.call(get(), 100ms, [&](const auto& response) { ended = response.error().code; });
+    REQUIRE(run_until([&] { return ended.has_value(); }));
+    CHECK(ended == error_code::timeout);
+}
+
+TEST_CASE("a refused connection says that nothing was sent")
+{
+    std::uint16_t unused = 0;
+    {
+        const scripted_server gone{{}};
+        unused = gone.port();
+    }
+    http_caller caller{"127.0.0.1", unused};
+    std::optional<error_code> ended;
+    caller.call(get(), 2s, [&](const auto& response) { ended = response.error().code; });
+    REQUIRE(run_until([&] { return ended.has_value(); }));
+    CHECK(ended == error_code::unavailable);
+}
+
+TEST_CASE("bytes that are no HTTP end the call")
+{
+    scripted_server server{{"SSH-2.0-x\r\n\r\n"}};
+    http_caller caller{"127.0.0.1", server.port()};
+    bool failed = false;
+    caller.call(get(), 2s, [&](const auto& response) { failed = response.has_error(); });
+    CHECK(run_until([&] { return failed; }));
+}
+
+TEST_CASE("the responder answers what its handler says")
+{
+    application();
+    http_responder responder{[](const std::string& path) {
+        return adapter::http_response{path == "/readiness" ? 200U : 404U, "text\n"};
+    }};
+    constexpr std::uint16_t port = 28'431;
+    REQUIRE(responder.listen("127.0.0.1", port));
+    http_caller caller{"127.0.0.1", port};
+    std::vector<std::uint32_t> statuses;
+    for (const char* path : {"/readiness", "/other"}) {
+        caller.call({"GET", path, {}, {}}, 2s,
+                    [&](const auto& response) { statuses.push_back(response.value().status); });
+    }
+    REQUIRE(run_until([&] { return statuses.size() == 2; }));
+    CHECK(statuses == std::vector<std::uint32_t>{200, 404});
+}
--- /dev/null
+++ b/packages/edge/tests/test_session_forwarder.cpp
@@ -0,0 +1,191 @@
+// Tests of sessions that another daemon serves, over real sockets.
+#include "boot_clock.h"
+#include "session_forwarder.h"
+
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QHostAddress>
+
+#include <array>
+#include <string>
+
+using namespace gypsumstep;
+using namespace gypsumstep::edge;
+
+namespace {
+
+QCoreApplication& application()
+{
+    static int count = 1;
+    static std::array<char, 5> name{"test"};
+    static std::array<char*, 2> arguments{name.data(), nullptr};
+    static QCoreApplication instance{count, arguments.data()};
+    return instance;
+}
+
+template <class Done>
+bool run_until(Done&& done)
+{
+    QElapsedTimer passed;
+    passed.start();
+    while (!done() && passed.elapsed() < 5000) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+    }
+    return done();
+}
+
+/// A home that records lines and answers as the test says.
+struct fake_home : QObject {
+    QTcpServer server;
+    QTcpSocket* session{nullptr};
+    std::string received;
+
+    fake_home()
+    {
+        REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+        connect(&server, &QTcpServer::newConnection, this, [this] {
+            session = server.nextPendingConnection();
+            connect(session, &QTcpSocket::readyRead, this,
+                    [this] { received += session->readAll().toStdString(); });
+        });
+    }
+
+    void answer(const char* lines)
+    {
+        session->write(lines);
+        session->flush();
+    }
+};
+
+constexpr std::uint16_t listen_port = 28'432;
+constexpr std::uint32_t few_connections = 4; // one home
+
+/// A daemon that forwards everything to one home, and a client of it.
+struct forwarding_daemon {
+    fake_home home;
+    homes::home_table table{"self", "b", {}};
+    client_listener clients{events(), session_id{1}};
+    session_forwarder forwarder{clients, table, 1};
+    QTcpSocket client;
+    std::string seen;
+
+    forwarding_daemon()
+    {
+        table.set_daemons({{"home", "a", "127.0.0.1", home.server.serverPort()},
+                           {"self", "b", "", 0},
+                           {"third", "c", "127.0.0.1", 1}});
+        REQUIRE(clients.listen("127.0.0.1", listen_port));
+        QObject::connect(&client, &QTcpSocket::readyRead, &client,
+                         [this] { seen += client.readAll().toStdString(); });
+        client.connectToHost(QHostAddress::LocalHost, listen_port);
+        client.write("START orders\r\n");
+        REQUIRE(run_until([this] { return !home.received.empty(); }));
+    }
+
+    client_events events()
+    {
+        client_events made;
+        made.connected = [](session_id) {};
+        made.started = [this](session_id id, const adapter::start_message& message) {
+            forwarder.begin(id, {{message.database, config_version{7}},
+                                 service_homed_at_home(),
+                                 few_connections,
+                                 100ms});
+        };
+        made.statement_received = [](session_id, const statement::statement&) {};
+        made.closed = [this](session_id id) { forwarder.on_client_closed(id); };
+        made.malformed = [](session_id, const std::string&) {};
+        return made;
+    }
+
+    /// A group whose only home is the fake one.
+    std::string service_homed_at_home() const
+    {
+        for (int i = 0; i < 100; ++i) {
+            const std::string name = "service" + std::to_string(i);
+            if (table.homes_of(name, few_connections).front().name == "home") {
+                return name;
+            }
+        }
+        return {};
+    }
+
+    void start()
+    {
+        home.answer("READY I -\r\n");
+        REQUIRE(run_until([this] { return seen == "READY I -\r\n"; }));
+        seen.clear();
+    }
+
+    void send(const char* line)
+    {
+        home.received.clear();
+        client.write(line);
+        REQUIRE(run_until([&] { return home.received == line; }));
+    }
+};
+
+} // namespace
+
+TEST_CASE("a session is started at its home with the configuration in force")
+{
+    application();
+    forwarding_daemon daemon;
+    CHECK(daemon.home.received == "START orders 7\r\n");
+    daemon.start();
+    daemon.send("QUERY 1 READ a\r\n");
+    daemon.home.answer("ROW x\r\nDONE 7.1\r\nREADY I 1.5\r\n");
+    CHECK(run_until([&] { return daemon.seen == "ROW x\r\nDONE 7.1\r\nREADY I 1.5\r\n"; }));
+}
+
+TEST_CASE("a lost home ends a read with a promise and a write with an unknown outcome")
+{
+    application();
+    for (const bool write : {false, true}) {
+        CAPTURE(write);
+        forwarding_daemon daemon;
+        daemon.start();
+        daemon.send(write ? "QUERY 1 WRITE a b\r\n" : "QUERY 1 READ a\r\n");
+        daemon.home.session->abort();
+        const std::string code = write ? "ERROR UNKNOWN" : "ERROR ABORTED";
+        CHECK(run_until([&] { return daemon.seen.starts_with(code); }));
+        CHECK(run_until([&] { return daemon.forwarder.size() == 0; }));
+    }
+}
+
+TEST_CASE("a home that does not answer is given up after the statement's time")
+{
+    application();
+    forwarding_daemon daemon;
+    daemon.start();
+    daemon.send("QUERY 1 READ a\r\n");
+    daemon.forwarder.on_tick(boot_now() + 500ms);
+    CHECK(daemon.seen.empty());
+    daemon.forwarder.on_tick(boot_now() + 2s);
+    CHECK(run_until([&] { return daemon.seen.starts_with("ERROR ABORTED"); }));
+}
+
+TEST_CASE("idle sessions are closed during a shutdown, busy ones are answered first")
+{
+    application();
+    forwarding_daemon daemon;
+    daemon.start();
+    daemon.send("QUERY 1 READ a\r\n");
+    daemon.forwarder.begin_shutdown(boot_now());
+    daemon.forwarder.on_tick(boot_now() + 1s);
+    CHECK(daemon.forwarder.size() == 1);
+    daemon.home.answer("DONE 7.1\r\nREADY I 1.5\r\n");
+    REQUIRE(run_until([&] { return !daemon.seen.empty(); }));
+    daemon.forwarder.on_tick(boot_now() + 5s);
+    CHECK(daemon.forwarder.size() == 0);
+}
+
+TEST_CASE("a session without a home that takes it is refused as not run")
+{
+    application();
+    forwarding_daemon daemon;
+    daemon.home.answer("ERROR BUSY x\r\n");
+    CHECK(run_until([&] { return daemon.seen.starts_with("ERROR BUSY"); }));
+}
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -101,9 +101,8 @@
     made.limit = limit_of(chosen, work);
     made.usual_time = chosen.usual_time;
     made.needs_connection = !has_idle_link(chosen);
-    made.expects_lag_refusal =
-        chosen.applied < work.at_least->position && !made.is_primary &&
-        chosen.lag.expects_refusal(now - work.at_least->since, now);
+    made.expects_lag_refusal = chosen.applied < work.at_least->position && !made.is_primary &&
+                               chosen.lag.expects_refusal(now - work.at_least->since, now);
     return made;
 }
 
--- a/packages/proxy/tests/test_promotion.cpp
+++ b/packages/proxy/tests/test_promotion.cpp
@@ -9,12 +9,13 @@
 template <class T>
 std::optional<T> last_step(const harness& world)
 {
-    for (auto each = world.promotions.rbegin(); each != world.promotions.rend(); ++each) {
-        if (const auto* found = std::get_if<T>(&each->step)) {
-            return *found;
+    std::optional<T> last;
+    for (const proxy::promotion_step& each : world.promotions) {
+        if (const auto* found = std::get_if<T>(&each.step)) {
+            last = *found;
         }
     }
-    return std::nullopt;
+    return last;
 }
 
 /// Lets the store answer that nobody holds a claim.
--- a/packages/proxy/tests/test_shutdown.cpp
+++ b/packages/proxy/tests/test_shutdown.cpp
@@ -8,17 +8,17 @@
 {
     harness world;
     world.start();
-    std::vector<session_id> clients;
-    for (int i = 0; i < 20; ++i) {
-        clients.push_back(world.connect("own"));
+    constexpr std::size_t clients = 20;
+    for (std::size_t i = 0; i < clients; ++i) {
+        (void)world.connect("own");
     }
     world.tested().begin_shutdown(world.now);
     CHECK_FALSE(world.tested().ready());
     world.pass(500ms);
     CHECK_FALSE(world.closed.empty());
-    CHECK(world.closed.size() < clients.size());
+    CHECK(world.closed.size() < clients);
     world.pass(2s);
-    CHECK(world.closed.size() == clients.size());
+    CHECK(world.closed.size() == clients);
     CHECK(world.stopped);
 }
 
