--- a/packages/directory/include/gypsumstep/directory/route_table.h
+++ b/packages/directory/include/gypsumstep/directory/route_table.h
@@ -16,7 +16,7 @@
 /// What the reads of a route must see.
 enum class consistency : std::uint8_t {
     primary,           ///< every acknowledged commit
-    bounded_staleness, ///< every commit acknowledged before max_staleness ago
+    bounded_age, ///< every commit acknowledged before max_staleness ago
     read_your_writes,  ///< as bounded, and every commit of the same session
 };
 
--- a/packages/edge/src/edge_metrics.cpp
+++ b/packages/edge/src/edge_metrics.cpp
@@ -8,8 +8,8 @@
     switch (reads) {
     case directory::consistency::primary:
         return "primary";
-    case directory::consistency::bounded_staleness:
-        return "bounded_staleness";
+    case directory::consistency::bounded_age:
+        return "bounded_age";
     case directory::consistency::read_your_writes:
         return "read_your_writes";
     }
--- a/packages/proxy/tests/harness.h
+++ b/packages/proxy/tests/harness.h
@@ -74,7 +74,7 @@
             made.routes.push_back(route);
         };
         add("primary", directory::consistency::primary, 0);
-        add("bounded", directory::consistency::bounded_staleness, 1);
+        add("bounded", directory::consistency::bounded_age, 1);
         add("own", directory::consistency::read_your_writes, 2);
         made.transaction_idle = 3s;
         m_proxy.on_configuration(std::move(made), now);
