Read registrations at the pace that the served groups need

Change: four paces, by what is wrong in the groups that a daemon serves; daemons that serve none read every ten seconds.

--- a/packages/directory/include/gypsumstep/directory/route_table.h
+++ b/packages/directory/include/gypsumstep/directory/route_table.h
@@ -15,9 +15,9 @@
 
 /// What the reads of a route must see.
 enum class consistency : std::uint8_t {
-    primary,           ///< every acknowledged commit
-    bounded_age, ///< every commit acknowledged before max_staleness ago
-    read_your_writes,  ///< as bounded, and every commit of the same session
+    primary,          ///< every acknowledged commit
+    bounded_age,      ///< every commit acknowledged before max_staleness ago
+    read_your_writes, ///< as bounded, and every commit of the same session
 };
 
 /// One route: a database name that clients use.
--- a/packages/directory/include/gypsumstep/directory/server_directory.h
+++ b/packages/directory/include/gypsumstep/directory/server_directory.h
@@ -76,9 +76,6 @@
     /// The servers of a group.
     [[nodiscard]] std::vector<const server_record*> of_service(std::string_view service) const;
 
-    /// True if a server is absent and the next listing may remove it.
-    [[nodiscard]] bool has_missing() const;
-
     [[nodiscard]] bool loaded() const { return m_listing_number > 0; }
 
     /// Number of listings so far; compares with server_record::role_since.
--- a/packages/directory/src/server_directory.cpp
+++ b/packages/directory/src/server_directory.cpp
@@ -1,6 +1,5 @@
 #include "gypsumstep/directory/server_directory.h"
 
-#include <algorithm>
 #include <set>
 
 namespace gypsumstep::directory {
@@ -67,12 +66,6 @@
     return found;
 }
 
-bool server_directory::has_missing() const
-{
-    return std::any_of(m_servers.begin(), m_servers.end(),
-                       [](const auto& each) { return each.second.missing_since.has_value(); });
-}
-
 server_record* server_directory::find_instance(const server_entry& entry)
 {
     for (auto& [id, record] : m_servers) {
--- a/packages/directory/tests/test_server_directory.cpp
+++ b/packages/directory/tests/test_server_directory.cpp
@@ -30,7 +30,7 @@
     CHECK(servers.update({}, start + 1s).missing == std::vector{id});
     CHECK(servers.find(id) != nullptr);
     CHECK(servers.update({make_entry("a")}, start + 3s).empty());
-    CHECK_FALSE(servers.has_missing());
+    CHECK_FALSE(servers.find(id)->missing_since);
 }
 
 TEST_CASE("an entry that stays absent is removed")
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -106,7 +106,8 @@
                       m_proxy.on_servers(listing, boot_now());
                       run_actions();
                   },
-                  [this] { return m_proxy.wants_fresh_servers(); },
+                  [this] { return m_proxy.need_of_listing(); },
+                  [this] { return m_roster.homes().daemons().size(); },
                   [this](promotion::store_time now) {
                       m_promotions.set_store_clock(now);
                       m_roster.set_store_clock(now);
@@ -185,6 +186,15 @@
         m_store.reload();
         return;
     }
+    start_forwarded(id, message);
+}
+
+void edge_process::start_forwarded(session_id id, const adapter::start_message& message)
+{
+    // This daemon may have read the servers long ago if it serves no group.
+    if (m_proxy.need_of_listing() == proxy::listing_need::none) {
+        m_store.refresh_servers();
+    }
     m_proxy.on_client_start(id, message.database, boot_now());
     run_actions();
 }
@@ -227,6 +237,9 @@
         }
     }
     m_proxy.set_served(std::move(served), boot_now());
+    if (m_proxy.need_of_listing() > proxy::listing_need::none) {
+        m_store.refresh_servers();
+    }
     run_actions();
 }
 
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -61,6 +61,7 @@
     void on_client_started(session_id id, const adapter::start_message& message);
     void on_client_closed(session_id id);
     void on_forwarded_start(session_id id, const adapter::start_message& message);
+    void start_forwarded(session_id id, const adapter::start_message& message);
     void retry_held_starts();
     void update_served();
     void on_tick();
--- a/packages/edge/src/store_follower.cpp
+++ b/packages/edge/src/store_follower.cpp
@@ -18,12 +18,18 @@
 /// One read of the store; it answers in milliseconds unless it is in trouble.
 constexpr duration read_limit = 1500ms;
 
-/// Between readings of the registrations while nothing is wrong. A server that drains is
-/// left in time with two of these.
+/// Between readings of the registrations while nothing is wrong, for few daemons and for
+/// many: calls are paid for. A server that drains is left in time with two of these.
 constexpr duration calm_pace = 2s;
+constexpr duration calm_pace_for_each_daemon = 45ms;
+constexpr duration longest_calm_pace = 4s;
 
-/// The same while servers are missing or a group has no primary.
-constexpr duration alert_pace = 300ms;
+/// The same while a server's registration is missing, and while a group has no primary.
+constexpr duration missing_pace = 1s;
+constexpr duration urgent_pace = 300ms;
+
+/// The same for a daemon that serves no group: it may be asked to at any time.
+constexpr duration idle_pace = 10s;
 
 /// First and longest pause after a failure; random, so that daemons do not call together.
 constexpr duration first_pause = 100ms;
@@ -122,7 +128,7 @@
         m_refresh_wanted = true;
         return;
     }
-    const auto soon = std::chrono::ceil<std::chrono::milliseconds>(alert_pace / 2);
+    const auto soon = std::chrono::ceil<std::chrono::milliseconds>(urgent_pace / 2);
     if (!m_next_servers.isActive() ||
         std::chrono::milliseconds{m_next_servers.remainingTime()} > soon) {
         m_next_servers.start(soon);
@@ -177,9 +183,25 @@
     }
     m_events.store_clock_read(page.value().moment.now);
     m_events.servers_read(m_listing);
-    const bool alert = m_refresh_wanted || m_events.wants_fresh_servers();
-    schedule_servers(alert ? m_random.between(alert_pace / 2, alert_pace)
-                           : m_random.between(calm_pace * 9 / 10, calm_pace));
+    const duration pause = m_refresh_wanted ? urgent_pace : pace();
+    schedule_servers(m_random.between(pause * 9 / 10, pause));
+}
+
+duration store_follower::pace() const
+{
+    switch (m_events.need_of_listing()) {
+    case proxy::listing_need::urgent:
+        return urgent_pace;
+    case proxy::listing_need::soon:
+        return missing_pace;
+    case proxy::listing_need::calm:
+        return std::clamp(calm_pace_for_each_daemon *
+                              static_cast<std::int64_t>(m_events.daemon_count()),
+                          calm_pace, longest_calm_pace);
+    case proxy::listing_need::none:
+        break;
+    }
+    return idle_pace;
 }
 
 void store_follower::schedule_servers(duration pause)
--- a/packages/edge/src/store_follower.h
+++ b/packages/edge/src/store_follower.h
@@ -6,6 +6,7 @@
 
 #include "gypsumstep/adapter/node_settings.h"
 #include "gypsumstep/base/random.h"
+#include "gypsumstep/proxy/proxy.h"
 
 #include <QTimer>
 
@@ -20,7 +21,8 @@
 struct store_events {
     std::function<void(directory::configuration)> configuration_read;
     std::function<void(const std::vector<directory::server_entry>&)> servers_read;
-    std::function<bool()> wants_fresh_servers;
+    std::function<proxy::listing_need()> need_of_listing;
+    std::function<std::size_t()> daemon_count; ///< that read the store as well
     std::function<void(promotion::store_time)> store_clock_read;
 };
 
@@ -45,6 +47,7 @@
     void read_page(const std::optional<std::string>& from);
     void on_servers(const result<adapter::http_response>& response);
     void schedule_servers(duration pause);
+    [[nodiscard]] duration pace() const;
     void note_availability(bool available, const std::string& cause);
 
     store_events m_events;
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -13,6 +13,7 @@
 #include "gypsumstep/proxy/detail/state.h"
 #include "gypsumstep/proxy/options.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -23,6 +24,14 @@
 
 namespace gypsumstep::proxy {
 
+/// How soon the servers' registrations should be read again.
+enum class listing_need : std::uint8_t {
+    none,   ///< this daemon serves no group
+    calm,   ///< nothing is wrong
+    soon,   ///< a server's registration lapsed
+    urgent, ///< a group has no primary
+};
+
 /// Numbers for gauges.
 struct proxy_numbers {
     std::size_t sessions{0};
@@ -77,8 +86,8 @@
     /// True if new clients can be served.
     [[nodiscard]] bool ready() const;
 
-    /// True if servers are missing, draining or not led: the list should be read often.
-    [[nodiscard]] bool wants_fresh_servers() const;
+    /// How soon the list of servers should be read again.
+    [[nodiscard]] listing_need need_of_listing() const;
 
     /// What has to be done, in order.
     [[nodiscard]] std::vector<action> take_actions();
@@ -188,6 +197,7 @@
     [[nodiscard]] std::string name_of(server_id id) const;
 
     [[nodiscard]] bool serves(const std::string& service) const;
+    [[nodiscard]] bool has_links(const std::string& service) const;
 
     session* find_session(session_id id);
     link* find_link(link_id id);
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -14,13 +14,33 @@
     return m_routes.loaded() && m_directory.loaded() && !m_shutdown_at;
 }
 
-bool proxy::wants_fresh_servers() const
+listing_need proxy::need_of_listing() const
 {
-    if (m_directory.has_missing()) {
-        return true;
+    listing_need need = listing_need::none;
+    if (!m_directory.loaded()) {
+        return listing_need::urgent;
     }
-    return std::any_of(m_groups.begin(), m_groups.end(), [this](const auto& each) {
-        return serves(each.first) && (!each.second->leader || each.second->promotion.in_progress());
+    for (const auto& [name, each] : m_groups) {
+        if (!serves(name) && !has_links(name)) {
+            continue;
+        }
+        if (!each->leader || each->promotion.in_progress()) {
+            return listing_need::urgent;
+        }
+        const auto servers = m_directory.of_service(name);
+        const bool missing =
+            std::any_of(servers.begin(), servers.end(), [](const directory::server_record* one) {
+                return one->missing_since.has_value();
+            });
+        need = std::max(need, missing ? listing_need::soon : listing_need::calm);
+    }
+    return need;
+}
+
+bool proxy::has_links(const std::string& service) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&service](const auto& each) {
+        return each.second->service == service && !each.second->links.empty();
     });
 }
 
--- a/packages/proxy/tests/test_membership.cpp
+++ b/packages/proxy/tests/test_membership.cpp
@@ -70,5 +70,19 @@
     world.send(client, harness::write());
     world.pass(200ms);
     CHECK(world.commands(command_kind::forward, "p").size() == 1);
-    CHECK(world.tested().wants_fresh_servers());
+    CHECK(world.tested().need_of_listing() == proxy::listing_need::urgent);
+}
+
+TEST_CASE("the listing is read as often as the groups that are served need it")
+{
+    harness world;
+    CHECK(world.tested().need_of_listing() == proxy::listing_need::urgent);
+    world.start();
+    CHECK(world.tested().need_of_listing() == proxy::listing_need::calm);
+    world.list_servers("r");
+    CHECK(world.tested().need_of_listing() == proxy::listing_need::soon);
+    world.list_servers();
+    world.tested().set_served({}, world.now);
+    world.pass(3s);
+    CHECK(world.tested().need_of_listing() == proxy::listing_need::none);
 }
