Refuse by the places of servers that hold a read's position

Change: the expected wait counts servers that would not refuse the read; waiting statements are refused early once twice their wait is too long. Lists, feeds and refreshes are called less often.

--- a/packages/edge/src/daemon_roster.cpp
+++ b/packages/edge/src/daemon_roster.cpp
@@ -23,9 +23,9 @@
 /// Pause before a call that failed is repeated.
 constexpr duration retry_pause = 1s;
 
-/// Pauses before the second and third reading of the list after a start, when the other
-/// daemons announce themselves as well, and between all later ones.
-constexpr std::array<duration, 3> list_pauses{1500ms, 5s, 30s};
+/// Pauses before the second reading of the list after a start, when the other daemons
+/// announce themselves as well, and between all later ones.
+constexpr std::array<duration, 2> list_pauses{3s, 30s};
 
 const logging::logger& log()
 {
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -236,6 +236,10 @@
             served.insert(service);
         }
     }
+    if (served == m_served) {
+        return;
+    }
+    m_served = served;
     m_proxy.set_served(std::move(served), boot_now());
     if (m_proxy.need_of_listing() > proxy::listing_need::none) {
         m_store.refresh_servers();
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -22,6 +22,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace gypsumstep::edge {
@@ -92,6 +93,7 @@
     bool m_sessions_ended{false}; ///< of the proxy, during a shutdown
     std::optional<time_point> m_stop_limit;
     std::map<session_id, held_start> m_held_starts;
+    std::set<std::string, std::less<>> m_served; ///< groups that this daemon is a home of
 };
 
 } // namespace gypsumstep::edge
--- a/packages/edge/src/store_follower.cpp
+++ b/packages/edge/src/store_follower.cpp
@@ -8,9 +8,9 @@
 namespace gypsumstep::edge {
 namespace {
 
-/// The store is asked to hold the feed this long; it may hold it for 30 s. Each call is
+/// The store is asked to hold the feed this long; it holds it for 30 s at most. Each call is
 /// paid for, and a connection that went silent is noticed by keep-alive probes.
-constexpr duration feed_wait = 20s;
+constexpr duration feed_wait = 28s;
 
 /// Beyond feed_wait, for the answer's way.
 constexpr duration feed_slack = 1500ms;
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -54,7 +54,8 @@
     bool hedged{false};
     time_point sent_at{};
     std::uint32_t attempts{0};
-    link_id link; ///< that it runs on
+    link_id link;     ///< that it runs on
+    server_id server; ///< that it was sent to last
 };
 
 using task_ptr = boost::intrusive_ptr<task>;
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -129,7 +129,9 @@
     [[nodiscard]] dispatch::candidate make_candidate(const group& of, const server& chosen,
                                                      const task& work, time_point now) const;
     [[nodiscard]] std::uint32_t limit_of(const server& chosen, const task& work) const;
-    [[nodiscard]] std::uint32_t places(const group& of, bool primary_only, time_point now) const;
+    [[nodiscard]] std::uint32_t places(const group& of, const task& work, time_point now) const;
+    [[nodiscard]] duration expected_wait(const group& of, const task& work, std::size_t ahead,
+                                         time_point now) const;
     link* idle_link(server& of, const session* wanted);
     [[nodiscard]] bool has_idle_link(const server& of) const;
     void open_link_if_useful(server& to, time_point now);
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -281,9 +281,11 @@
 {
     group& of = group_of(work->route.service);
     dispatch::admission_input input;
+    if (!work->needs_primary) {
+        work->at_least = of.watermarks.position_for(work->bound);
+    }
     input.expected_wait =
-        of.estimate.expected_wait(of.queue.ahead_of(work->priority, work->needs_primary),
-                                  places(of, work->needs_primary, now));
+        expected_wait(of, *work, of.queue.ahead_of(work->priority, work->needs_primary), now);
     input.patience = patience_of(work->route);
     if (const auto refused = dispatch::refuse_now(input)) {
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>(refused->retry_after);
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -148,20 +148,30 @@
     return false;
 }
 
-std::uint32_t proxy::places(const group& of, bool primary_only, time_point now) const
+std::uint32_t proxy::places(const group& of, const task& work, time_point now) const
 {
     std::uint32_t total = 0;
     for (const auto& [id, each] : m_servers) {
         if (each->service != of.service || !usable(*each, now)) {
             continue;
         }
-        if (!primary_only || of.leader == id) {
-            total += m_options.statements_per_server;
+        const bool is_leader = of.leader == id;
+        if (work.needs_primary
+                ? !is_leader
+                : work.at_least && make_candidate(of, *each, work, now).expects_lag_refusal) {
+            continue;
         }
+        total += m_options.statements_per_server;
     }
     return total;
 }
 
+duration proxy::expected_wait(const group& of, const task& work, std::size_t ahead,
+                              time_point now) const
+{
+    return of.estimate.expected_wait(ahead, places(of, work, now));
+}
+
 bool proxy::has_idle_link(const server& of) const
 {
     return std::any_of(of.links.begin(), of.links.end(), [this](link_id id) {
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -31,6 +31,7 @@
 {
     to.work = work;
     work->link = to.id;
+    work->server = to.server;
     if (work->kind == task_kind::statement) {
         to.counted = true;
         ++find_server(to.server)->running;
--- a/packages/proxy/src/statement_end.cpp
+++ b/packages/proxy/src/statement_end.cpp
@@ -256,6 +256,9 @@
               {"attempts", std::to_string(work->attempts + 1)},
               {"took_us", std::to_string((now - work->arrived).count())},
               {"sent", work->sent ? "true" : "false"},
+              {"server", work->server == server_id{} ? "" : name_of(work->server)},
+              {"read_age_us",
+               work->at_least ? std::to_string((now - work->at_least->since).count()) : ""},
               {"configuration", std::to_string(m_routes.version().value())}});
     }
     emit(statement_finished{work->route.reads, content.error, now - work->arrived, on_replica});
--- a/packages/proxy/src/upkeep.cpp
+++ b/packages/proxy/src/upkeep.cpp
@@ -19,6 +19,13 @@
 constexpr int hedge_multiple = 6;
 constexpr duration min_hedge_delay = 300ms;
 
+/// A waiting statement is refused before its time is over once its expected wait is this
+/// many times too long; the estimate is rough.
+constexpr int hopeless_margin = 2;
+
+/// Not sooner than this after its arrival: the first estimate admitted it.
+constexpr duration recheck_after = 100ms;
+
 /// During a shutdown idle sessions are closed over this time, so that their clients do
 /// not all connect elsewhere at once. The balancer has stopped sending new ones by then.
 constexpr duration close_spread = 2s;
@@ -144,10 +151,17 @@
 void proxy::check_queue(group& of, time_point now)
 {
     std::vector<task_ptr> expired;
+    std::size_t ahead = 0;
     of.queue.visit([&](dispatch::waiting& item) {
-        if (now >= item.give_up_at) {
+        const task& work = static_cast<const task&>(item);
+        const duration wait = expected_wait(of, work, ahead, now) / hopeless_margin;
+        if (now >= item.give_up_at ||
+            (item.arrived + recheck_after <= now && now + wait >= item.give_up_at)) {
             expired.emplace_back(static_cast<task*>(&item));
         }
+        else {
+            ++ahead;
+        }
         return true;
     });
     for (const task_ptr& work : expired) {
