End the process without waiting for the log library's threads

Ruled out: sessions or transactions that keep the process; it had quit its event loop 2 s after SIGTERM.

--- a/packages/edge/src/run_edge.cpp
+++ b/packages/edge/src/run_edge.cpp
@@ -9,6 +9,7 @@
 #include <QCoreApplication>
 
 #include <cstdio>
+#include <cstdlib>
 #include <utility>
 
 #include <unistd.h>
@@ -61,7 +62,9 @@
     }
     logging::stop();
     output.flush();
-    return code;
+    // The log library ends its worker threads in a static destructor and waits for them;
+    // nothing is left to be written.
+    std::quick_exit(code);
 }
 
 } // namespace gypsumstep::edge
