--- a/cmake/GypsumstepDependencies.cmake
+++ b/cmake/GypsumstepDependencies.cmake
@@ -1,7 +1,7 @@
 # Every third-party library of the workspace, found in one place.
 find_package(Boost 1.81 REQUIRED)
 find_package(nlohmann_json 3.11 REQUIRED)
-find_package(Qt6 REQUIRED COMPONENTS Core Network HttpServer WebSockets)
+find_package(Qt6 REQUIRED COMPONENTS Core Network HttpServer)
 find_package(absl REQUIRED)
 find_package(Catch2 2 REQUIRED)
 find_package(SQLite3 REQUIRED)
--- a/packages/edge/tests/test_session_forwarder.cpp
+++ b/packages/edge/tests/test_session_forwarder.cpp
@@ -104,7 +104,7 @@
     std::string service_homed_at_home() const
     {
         for (int i = 0; i < 100; ++i) {
-            const std::string name = "service" + std::to_string(i);
+            std::string name = "service" + std::to_string(i);
             if (table.homes_of(name, few_connections).front().name == "home") {
                 return name;
             }
