Let replicas receive again after a survey that promoted nobody

Cause: found by reading. With synchronous replicas a survey pauses them, and when another daemon was first or the order failed nothing sent RESUME.

--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -157,6 +157,8 @@
     time_point newest_proof{}; ///< when the newest proof in progress was asked for
     promotion::coordinator promotion;
     std::optional<survey> open_survey;
+    std::set<server_id> paused; ///< replicas that a survey stopped from receiving
+    time_point resume_at{};
     time_point refreshed{};
 
     group(std::string name, const std::string& daemon, std::uint64_t seed)
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -119,7 +119,7 @@
     void answer_done(session& to);
     void answer_error(session& to, error_class kind, const std::string& text);
     [[nodiscard]] statement::transaction_state state_of(const session& of) const;
-    void forget_task(const task_ptr& work, time_point now);
+    void forget_task(const task_ptr& work);
 
     // Choosing servers: dispatching.cpp.
     void dispatch(group& of, time_point now);
@@ -128,7 +128,7 @@
     bool try_start_read(group& of, const task_ptr& work, time_point now);
     [[nodiscard]] dispatch::candidate make_candidate(const group& of, const server& chosen,
                                                      const task& work, time_point now) const;
-    [[nodiscard]] std::uint32_t limit_of(const server& chosen, const task& work) const;
+    [[nodiscard]] std::uint32_t limit_of(const task& work) const;
     [[nodiscard]] std::uint32_t places(const group& of, const task& work, time_point now) const;
     [[nodiscard]] duration expected_wait(const group& of, const task& work, std::size_t ahead,
                                          time_point now) const;
@@ -181,6 +181,7 @@
     void continue_survey(group& of, time_point now);
     bool ask_status(group& of, server& who, time_point now);
     void finish_survey(group& of, time_point now);
+    void resume_replicas(group& of, time_point now);
     void add_server(const directory::server_record& record);
     void remove_server(server_id id, time_point now);
     [[nodiscard]] dispatch::proximity proximity_of(const std::string& domain) const;
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -313,7 +313,7 @@
     const std::unique_ptr<session> closed = std::move(found->second);
     m_sessions.erase(found);
     if (closed->running) {
-        forget_task(closed->running, now);
+        forget_task(closed->running);
     }
     else if (closed->open && closed->open->link) {
         if (link* const used = find_link(*closed->open->link)) {
@@ -322,7 +322,7 @@
     }
 }
 
-void proxy::forget_task(const task_ptr& work, time_point now)
+void proxy::forget_task(const task_ptr& work)
 {
     if (work->queued) {
         group_of(work->route.service).queue.remove(*work);
@@ -333,10 +333,9 @@
     if (used == nullptr || used->work != work) {
         return;
     }
+    // A statement that was sent runs to its end; the link is cleaned with its answer.
     used->work.reset();
     used->pinned.reset();
-    // A statement that was sent runs to its end; the link is cleaned with its answer.
-    (void)now;
 }
 
 statement::transaction_state proxy::state_of(const session& of) const
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -63,9 +63,8 @@
     return m_directory.find(of.id) != nullptr && now >= of.avoid_until;
 }
 
-std::uint32_t proxy::limit_of(const server& chosen, const task& work) const
+std::uint32_t proxy::limit_of(const task& work) const
 {
-    (void)chosen;
     return m_options.statements_per_server + (work.priority == 0 ? m_options.urgent_reserve : 0);
 }
 
@@ -76,7 +75,7 @@
         return false;
     }
     const bool takes_slot = work->kind == detail::task_kind::statement;
-    if (takes_slot && leader->running >= limit_of(*leader, *work)) {
+    if (takes_slot && leader->running >= limit_of(*work)) {
         return false;
     }
     link* const chosen = idle_link(*leader, find_session(work->session));
@@ -98,7 +97,7 @@
     made.is_primary = of.leader == chosen.id;
     made.distance = chosen.distance;
     made.in_flight = chosen.running;
-    made.limit = limit_of(chosen, work);
+    made.limit = limit_of(work);
     made.usual_time = chosen.usual_time;
     made.needs_connection = !has_idle_link(chosen);
     made.expects_lag_refusal = chosen.applied < work.at_least->position && !made.is_primary &&
--- a/packages/proxy/src/groups.cpp
+++ b/packages/proxy/src/groups.cpp
@@ -15,6 +15,10 @@
 /// Pause before a replica is asked again whether it holds what the old primary had.
 constexpr duration survey_pause = 20ms;
 
+/// Replicas that were stopped for a survey receive again after this time, whether or not
+/// one of them was promoted. Covers claim, order and promotion.
+constexpr duration pause_limit = 4s;
+
 /// Watermarks are kept this much longer than any route's staleness.
 constexpr duration watermark_slack = 1s;
 
@@ -214,6 +218,7 @@
     if (of.open_survey) {
         continue_survey(of, now);
     }
+    resume_replicas(of, now);
 }
 
 void proxy::run_promotion_actions(group& of, time_point now)
@@ -270,6 +275,8 @@
         command.at_term = of.leader_term.next();
     }
     else if (in.pause) {
+        of.paused.insert(who.id);
+        of.resume_at = now + pause_limit;
         command.kind = command_kind::pause;
         command.at_term = of.leader_term.next();
     }
@@ -360,6 +367,29 @@
     run_promotion_actions(of, now);
 }
 
+void proxy::resume_replicas(group& of, time_point now)
+{
+    if (of.paused.empty() || now < of.resume_at) {
+        return;
+    }
+    const std::set<server_id> paused = of.paused;
+    for (const server_id id : paused) {
+        server* const who = find_server(id);
+        link* const free = who == nullptr ? nullptr : idle_link(*who, nullptr);
+        if (who != nullptr && free == nullptr) {
+            open_link_if_useful(*who, now);
+            continue;
+        }
+        of.paused.erase(id);
+        if (free != nullptr) {
+            statement::server_command command;
+            command.kind = command_kind::resume;
+            free->phase = link_phase::surveying;
+            send(*free, std::move(command), survey_limit, now);
+        }
+    }
+}
+
 void proxy::on_shared_state(const std::string& service,
                             const std::optional<promotion::shared_state>& state, time_point now)
 {
--- a/packages/proxy/tests/harness.h
+++ b/packages/proxy/tests/harness.h
@@ -58,7 +58,7 @@
     }
 
     /// Puts a configuration in force whose routes are named like their consistency.
-    void configure(std::uint64_t version = 1)
+    void configure(std::uint64_t version = 1, std::uint32_t sync_replicas = 0)
     {
         directory::configuration made;
         made.version = config_version{version};
@@ -77,6 +77,7 @@
         add("bounded", directory::consistency::bounded_age, 1);
         add("own", directory::consistency::read_your_writes, 2);
         made.transaction_idle = 3s;
+        made.services["ledger"] = {33, sync_replicas};
         m_proxy.on_configuration(std::move(made), now);
         settle();
     }
--- a/packages/proxy/tests/test_promotion.cpp
+++ b/packages/proxy/tests/test_promotion.cpp
@@ -94,3 +94,20 @@
     world.pass(300ms);
     CHECK(world.promotions.empty());
 }
+
+TEST_CASE("replicas that were stopped for a survey receive again")
+{
+    harness world;
+    world.configure(1, 1);
+    world.servers["p"].primary = false;
+    world.servers["p"].reachable = false;
+    world.list_servers();
+    world.pass(800ms);
+    answer_store(world);
+    CHECK(world.commands(command_kind::pause, "r").size() == 1);
+    CHECK(world.commands(command_kind::resume, "r").empty());
+    // Another daemon was first, and nothing is promoted here.
+    world.tested().on_claim_written("ledger", promotion::call_outcome::conflict, world.now);
+    world.pass(5s);
+    CHECK(world.commands(command_kind::resume, "r").size() == 1);
+}
