--- a/packages/edge/src/daemon_roster.cpp
+++ b/packages/edge/src/daemon_roster.cpp
@@ -1,7 +1,5 @@
 #include "daemon_roster.h"
 
-#include "boot_clock.h"
-
 #include "gypsumstep/logging/logging.h"
 
 #include <array>
@@ -33,11 +31,6 @@
     return instance;
 }
 
-promotion::store_time local_now()
-{
-    return std::chrono::floor<promotion::store_time>(boot_now().time_since_epoch());
-}
-
 std::chrono::milliseconds to_timer(duration pause)
 {
     return std::chrono::ceil<std::chrono::milliseconds>(pause);
@@ -45,12 +38,12 @@
 
 } // namespace
 
-daemon_roster::daemon_roster(const adapter::node_settings& settings, std::uint64_t seed,
-                             std::function<void()> on_change)
+daemon_roster::daemon_roster(const adapter::node_settings& settings, const store_clock& clock,
+                             std::uint64_t seed, std::function<void()> on_change)
     : m_self{settings.name, settings.domain, settings.clients.host, settings.forwarding_port},
-      m_random{seed}, m_on_change{std::move(on_change)},
-      m_homes{settings.name, settings.domain, settings.regions}, m_store{settings.store.host,
-                                                                         settings.store.port}
+      m_random{seed}, m_on_change{std::move(on_change)}, m_homes{settings.name, settings.domain,
+                                                                 settings.regions},
+      m_store{settings.store.host, settings.store.port}, m_clock{clock}
 {
     m_next_announcement.setSingleShot(true);
     m_next_list.setSingleShot(true);
@@ -58,24 +51,18 @@
     connect(&m_next_list, &QTimer::timeout, this, [this] { read_list(); });
 }
 
-void daemon_roster::set_store_clock(promotion::store_time now)
+void daemon_roster::start()
 {
-    m_clock_offset = now - local_now();
-    if (!m_clock_known) {
-        m_clock_known = true;
+    if (!m_started) {
+        m_started = true;
         announce();
         read_list();
     }
 }
 
-promotion::store_time daemon_roster::store_now() const
-{
-    return local_now() + m_clock_offset;
-}
-
 void daemon_roster::announce()
 {
-    const homes::announcement value{m_self, store_now()};
+    const homes::announcement value{m_self, m_clock.now()};
     m_store.call(adapter::write_announcement(value), call_limit, [this](const auto& response) {
         const bool done = response.has_value() &&
                           adapter::outcome_of(response.value()) == promotion::call_outcome::done;
@@ -110,7 +97,7 @@
         m_next_list.start(to_timer(m_random.between(retry_pause / 2, retry_pause)));
         return;
     }
-    const auto oldest = store_now() - announcement_lifetime;
+    const auto oldest = m_clock.now() - announcement_lifetime;
     std::vector<homes::daemon_entry> daemons;
     for (const homes::announcement& each : read.value()) {
         if (each.announced_at >= oldest) {
--- a/packages/edge/src/daemon_roster.h
+++ b/packages/edge/src/daemon_roster.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "http_caller.h"
+#include "store_clock.h"
 
 #include "gypsumstep/adapter/node_settings.h"
 #include "gypsumstep/base/random.h"
@@ -19,11 +20,12 @@
 class daemon_roster : public QObject {
 public:
     /// \param on_change called when the daemons changed
-    daemon_roster(const adapter::node_settings& settings, std::uint64_t seed,
-                  std::function<void()> on_change);
+    daemon_roster(const adapter::node_settings& settings, const store_clock& clock,
+                  std::uint64_t seed, std::function<void()> on_change);
 
-    /// Announces this daemon once the store's clock is known, and reads the list.
-    void set_store_clock(promotion::store_time now);
+    /// Announces this daemon and reads the list; the store's clock is known. Later calls
+    /// do nothing.
+    void start();
 
     [[nodiscard]] homes::home_table& homes() { return m_homes; }
 
@@ -31,7 +33,6 @@
     [[nodiscard]] bool known() const { return m_known; }
 
 private:
-    [[nodiscard]] promotion::store_time store_now() const;
     void announce();
     void read_list();
     void on_list(const result<adapter::http_response>& response);
@@ -43,8 +44,8 @@
     http_caller m_store;
     QTimer m_next_announcement;
     QTimer m_next_list;
-    promotion::store_time m_clock_offset{0}; ///< the store's clock less this VM's
-    bool m_clock_known{false};
+    const store_clock& m_clock;
+    bool m_started{false};
     bool m_known{false};
     std::size_t m_lists{0}; ///< read so far
 };
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -71,7 +71,7 @@
 edge_process::edge_process(adapter::node_settings settings, std::string settings_file,
                            line_logger& output)
     : m_settings{std::move(settings)}, m_settings_file{std::move(settings_file)}, m_output{output},
-      m_metrics{m_registry}, m_proxy{proxy_options(m_settings)}, m_roster{m_settings,
+      m_metrics{m_registry}, m_proxy{proxy_options(m_settings)}, m_roster{m_settings, m_clock,
                                                                           seed_of(m_settings),
                                                                           [this] {
                                                                               update_served();
@@ -109,11 +109,11 @@
                   [this] { return m_proxy.need_of_listing(); },
                   [this] { return m_roster.homes().daemons().size(); },
                   [this](promotion::store_time now) {
-                      m_promotions.set_store_clock(now);
-                      m_roster.set_store_clock(now);
+                      m_clock.set(now);
+                      m_roster.start();
                   },
               }},
-      m_promotions{m_settings, m_proxy,
+      m_promotions{m_settings, m_clock, m_proxy,
                    [this](const std::string& service) {
                        const auto limit = m_proxy.routes().settings_of(service).max_connections;
                        return m_roster.homes().homes_of(service, limit).size();
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -10,6 +10,7 @@
 #include "promotion_caller.h"
 #include "server_links.h"
 #include "session_forwarder.h"
+#include "store_clock.h"
 #include "store_follower.h"
 
 #include "gypsumstep/adapter/node_settings.h"
@@ -77,6 +78,7 @@
     metrics::registry m_registry;
     edge_metrics m_metrics;
     proxy::proxy m_proxy;
+    store_clock m_clock;
     daemon_roster m_roster;
     client_listener m_clients;
     client_listener m_forwarding_daemons; ///< sessions that other daemons forward
--- a/packages/edge/src/promotion_caller.cpp
+++ b/packages/edge/src/promotion_caller.cpp
@@ -20,11 +20,6 @@
     return instance;
 }
 
-promotion::store_time local_now()
-{
-    return std::chrono::floor<promotion::store_time>(boot_now().time_since_epoch());
-}
-
 promotion::call_outcome outcome_of(const char* what, const std::string& service,
                                    const result<adapter::http_response>& response)
 {
@@ -42,11 +37,12 @@
 
 } // namespace
 
-promotion_caller::promotion_caller(const adapter::node_settings& settings, proxy::proxy& told,
-                                   home_count homes, std::function<void()> after_event)
+promotion_caller::promotion_caller(const adapter::node_settings& settings, store_clock& clock,
+                                   proxy::proxy& told, home_count homes,
+                                   std::function<void()> after_event)
     : m_daemon{settings.name}, m_proxy{told}, m_home_count{std::move(homes)},
       m_after_event{std::move(after_event)}, m_store{settings.store.host, settings.store.port},
-      m_platform{settings.platform_api.host, settings.platform_api.port}
+      m_platform{settings.platform_api.host, settings.platform_api.port}, m_clock{clock}
 {
 }
 
@@ -66,16 +62,6 @@
     }
 }
 
-void promotion_caller::set_store_clock(promotion::store_time now)
-{
-    m_clock_offset = now - local_now();
-}
-
-promotion::store_time promotion_caller::store_now() const
-{
-    return local_now() + m_clock_offset;
-}
-
 void promotion_caller::read_state(const std::string& service)
 {
     m_store.call(
@@ -92,7 +78,7 @@
             else {
                 state = read.value();
                 state->daemons = m_home_count(service);
-                set_store_clock(state->now);
+                m_clock.set(state->now);
             }
             for (const std::string& each : malformed) {
                 log().warn("ignored a malformed row", {{"service", service}, {"row", each}});
@@ -104,7 +90,7 @@
 
 void promotion_caller::report_suspicion(const std::string& service, const std::string& primary)
 {
-    const promotion::suspicion value{m_daemon, primary, store_now()};
+    const promotion::suspicion value{m_daemon, primary, m_clock.now()};
     m_store.call(adapter::write_suspicion(service, value), call_limit,
                  [this, service](const auto& response) {
                      const auto outcome =
--- a/packages/edge/src/promotion_caller.h
+++ b/packages/edge/src/promotion_caller.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "http_caller.h"
+#include "store_clock.h"
 
 #include "gypsumstep/adapter/node_settings.h"
 #include "gypsumstep/proxy/actions.h"
@@ -20,16 +21,12 @@
     using home_count = std::function<std::size_t(const std::string& service)>;
 
     /// \param after_event called after the proxy was told something
-    promotion_caller(const adapter::node_settings& settings, proxy::proxy& told, home_count homes,
-                     std::function<void()> after_event);
+    promotion_caller(const adapter::node_settings& settings, store_clock& clock, proxy::proxy& told,
+                     home_count homes, std::function<void()> after_event);
 
     void run(const proxy::promotion_step& wanted);
 
-    /// Keeps the store's clock, as an answer told it just now.
-    void set_store_clock(promotion::store_time now);
-
 private:
-    [[nodiscard]] promotion::store_time store_now() const;
     void read_state(const std::string& service);
     void report_suspicion(const std::string& service, const std::string& primary);
     void write_claim(const std::string& service, const promotion::write_claim& wanted);
@@ -41,7 +38,7 @@
     std::function<void()> m_after_event;
     http_caller m_store;
     http_caller m_platform;
-    promotion::store_time m_clock_offset{0}; ///< the store's clock less this VM's
+    store_clock& m_clock;
 };
 
 } // namespace gypsumstep::edge
--- a/packages/edge/src/session_forwarder.cpp
+++ b/packages/edge/src/session_forwarder.cpp
@@ -4,6 +4,7 @@
 #include "socket_options.h"
 
 #include "gypsumstep/logging/logging.h"
+#include "gypsumstep/proxy/options.h"
 
 #include <QHostAddress>
 
@@ -18,9 +19,6 @@
 /// A home that has not answered this long after a statement's own time-out is lost.
 constexpr duration answer_slack = 1s;
 
-/// Idle sessions are closed over this time during a shutdown.
-constexpr duration close_spread = 2s;
-
 /// A home that lost power is noticed before a statement's usual time-out.
 constexpr liveness home_liveness{1, 1, 2, 2500};
 
@@ -231,7 +229,7 @@
 {
     m_stopping = true;
     for (const auto& [id, each] : m_sessions) {
-        each->close_at = now + m_random.between(duration{0}, close_spread);
+        each->close_at = now + m_random.between(duration{0}, proxy::close_spread);
     }
 }
 
--- a/packages/edge/tests/test_http_caller.cpp
+++ b/packages/edge/tests/test_http_caller.cpp
@@ -1,11 +1,10 @@
 // Tests of calls over HTTP against a server that cuts, delays and mixes answers.
+#include "event_loop.h"
 #include "http_caller.h"
 #include "http_responder.h"
 
 #include <catch2/catch.hpp>
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
 #include <QTcpServer>
 #include <QTcpSocket>
 
@@ -14,31 +13,10 @@
 
 using namespace gypsumstep;
 using namespace gypsumstep::edge;
+using namespace gypsumstep::edge::test;
 
 namespace {
 
-QCoreApplication& application()
-{
-    static int count = 1;
-    static std::array<char, 5> name{"test"};
-    static std::array<char*, 2> arguments{name.data(), nullptr};
-    static QCoreApplication instance{count, arguments.data()};
-    return instance;
-}
-
-/// Runs the event loop until \p done returns true, at most a few seconds.
-template <class Done>
-bool run_until(Done&& done)
-{
-    application();
-    QElapsedTimer passed;
-    passed.start();
-    while (!done() && passed.elapsed() < 5000) {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
-    }
-    return done();
-}
-
 /// Answers each connection with a fixed text, or not at all.
 class scripted_server : public QObject {
 public:
--- a/packages/edge/tests/test_session_forwarder.cpp
+++ b/packages/edge/tests/test_session_forwarder.cpp
@@ -1,41 +1,20 @@
 // Tests of sessions that another daemon serves, over real sockets.
 #include "boot_clock.h"
+#include "event_loop.h"
 #include "session_forwarder.h"
 
 #include <catch2/catch.hpp>
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
 #include <QHostAddress>
 
-#include <array>
 #include <string>
 
 using namespace gypsumstep;
 using namespace gypsumstep::edge;
+using namespace gypsumstep::edge::test;
 
 namespace {
 
-QCoreApplication& application()
-{
-    static int count = 1;
-    static std::array<char, 5> name{"test"};
-    static std::array<char*, 2> arguments{name.data(), nullptr};
-    static QCoreApplication instance{count, arguments.data()};
-    return instance;
-}
-
-template <class Done>
-bool run_until(Done&& done)
-{
-    QElapsedTimer passed;
-    passed.start();
-    while (!done() && passed.elapsed() < 5000) {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
-    }
-    return done();
-}
-
 /// A home that records lines and answers as the test says.
 struct fake_home : QObject {
     QTcpServer server;
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -18,9 +18,6 @@
 /// Pause after a server had no connection left; other daemons need time to give theirs back.
 constexpr duration too_many_pause = 150ms;
 
-/// Pause before a server that reported no capacity gets new work.
-constexpr duration busy_pause = 10ms;
-
 /// Time that a server which denied being primary is not taken for it, unless its
 /// registration changes.
 constexpr duration refused_lead_pause = 500ms;
--- a/packages/proxy/src/statement_end.cpp
+++ b/packages/proxy/src/statement_end.cpp
@@ -9,9 +9,6 @@
 using detail::link_phase;
 using statement::transaction_state;
 
-/// Pause before a server without capacity gets the same statement again.
-constexpr duration busy_pause = 10ms;
-
 /// Runs of one statement after answers that say it did not run.
 constexpr std::uint32_t max_attempts = 30;
 
--- a/packages/proxy/src/upkeep.cpp
+++ b/packages/proxy/src/upkeep.cpp
@@ -26,10 +26,6 @@
 /// Not sooner than this after its arrival: the first estimate admitted it.
 constexpr duration recheck_after = 100ms;
 
-/// During a shutdown idle sessions are closed over this time, so that their clients do
-/// not all connect elsewhere at once. The balancer has stopped sending new ones by then.
-constexpr duration close_spread = 2s;
-
 /// Sessions that became idle later are closed after this rest.
 constexpr duration close_rest = 100ms;
 
