Give each group six homes, chosen by processor capacity, with a share of its servers

Cause: twelve homes a group, chosen without regard to their processors, sent a server up to 48 statements at a time. Its own queue knows no priorities, so urgent work waited behind the rest; and half of the homes ran on an eighth of a core. Daemons that serve no group read the registrations every 10 s and asked for a missing configuration every 100 ms; each call is paid for. A daemon that serves no group now reads the registrations before it takes a forwarded session if its list is older than 4 s, and reads them sooner once it has connections.

--- a/packages/dispatch/include/gypsumstep/dispatch/server_choice.h
+++ b/packages/dispatch/include/gypsumstep/dispatch/server_choice.h
@@ -52,4 +52,13 @@
 /// The primary is a last resort, since only it can run writes.
 [[nodiscard]] std::optional<server_id> choose_for_read(std::span<const candidate> candidates);
 
+/// The statements that one of \p sharing daemons sends to a server of \p slots at a time, at
+/// least \p least.
+///
+/// Together the daemons keep a server's slots busy over the round trips between regions,
+/// also if only some of them have work; more would only lengthen the server's own queue,
+/// which knows no priorities.
+[[nodiscard]] std::uint32_t fair_statement_limit(std::uint32_t slots, std::uint32_t sharing,
+                                                 std::uint32_t least);
+
 } // namespace gypsumstep::dispatch
--- a/packages/dispatch/src/server_choice.cpp
+++ b/packages/dispatch/src/server_choice.cpp
@@ -28,6 +28,10 @@
 /// Cost of opening a connection first.
 constexpr duration connection_penalty = 20ms;
 
+/// Statements in flight for each slot of a server, over all daemons: a round trip between
+/// regions lasts about as long as a statement, and the load is not even over the daemons.
+constexpr std::uint32_t statements_per_slot = 5;
+
 duration expected_time(const candidate& server)
 {
     duration expected = server.usual_time;
@@ -74,6 +78,12 @@
     return age < m_lag && now < m_try_again;
 }
 
+std::uint32_t fair_statement_limit(std::uint32_t slots, std::uint32_t sharing, std::uint32_t least)
+{
+    const std::uint32_t divisor = std::max(sharing, 1U);
+    return std::max((slots * statements_per_slot + divisor - 1) / divisor, least);
+}
+
 std::optional<server_id> choose_for_read(std::span<const candidate> candidates)
 {
     std::optional<server_id> best;
--- a/packages/edge/src/daemon_roster.cpp
+++ b/packages/edge/src/daemon_roster.cpp
@@ -40,7 +40,8 @@
 
 daemon_roster::daemon_roster(const adapter::node_settings& settings, const store_clock& clock,
                              std::uint64_t seed, std::function<void()> on_change)
-    : m_self{settings.name, settings.domain, settings.clients.host, settings.forwarding_port},
+    : m_self{settings.name, settings.domain, settings.clients.host, settings.forwarding_port,
+             settings.capacity},
       m_random{seed}, m_on_change{std::move(on_change)}, m_homes{settings.name, settings.domain,
                                                                  settings.regions},
       m_store{settings.store.host, settings.store.port}, m_clock{clock}
--- a/packages/edge/src/daemon_roster.h
+++ b/packages/edge/src/daemon_roster.h
@@ -28,6 +28,7 @@
     void start();
 
     [[nodiscard]] homes::home_table& homes() { return m_homes; }
+    [[nodiscard]] const homes::home_table& homes() const { return m_homes; }
 
     /// True once the list was read.
     [[nodiscard]] bool known() const { return m_known; }
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -22,9 +22,13 @@
 /// Sessions from here on were forwarded by other daemons.
 constexpr session_id first_forwarded_session{1ULL << 40U};
 
-/// Time for a newer configuration to reach this daemon too.
+/// Time for a newer configuration and a fresh list of servers to reach this daemon too.
 constexpr duration held_start_limit = 500ms;
 
+/// A daemon that serves no group reads the servers again before it serves a forwarded session
+/// if its list is older: as old as the list of a home may be.
+constexpr duration usable_listing_age = 4s;
+
 /// The process ends this long before it would be killed.
 constexpr duration stop_margin = 250ms;
 
@@ -103,7 +107,9 @@
                       update_served();
                   },
                   [this](const std::vector<directory::server_entry>& listing) {
-                      m_proxy.on_servers(listing, boot_now());
+                      m_listed_at = boot_now();
+                      m_proxy.on_servers(listing, m_listed_at);
+                      retry_held_starts();
                       run_actions();
                   },
                   [this] { return m_proxy.need_of_listing(); },
@@ -180,23 +186,32 @@
 
 void edge_process::on_forwarded_start(session_id id, const adapter::start_message& message)
 {
-    if (message.at_least && m_proxy.routes().version() < *message.at_least) {
-        // The forwarding daemon acted by a newer configuration; this one must not go back.
+    // The forwarding daemon may act by a newer configuration; this one must not go back.
+    const bool old_configuration = !has_configuration(message);
+    const bool old_listing = !has_usable_listing(boot_now());
+    if (old_configuration || old_listing) {
         m_held_starts.insert_or_assign(id, held_start{message, boot_now() + held_start_limit});
-        m_store.reload();
+        if (old_configuration) {
+            m_store.reload();
+        }
+        if (old_listing) {
+            m_store.read_servers_now();
+        }
         return;
     }
-    start_forwarded(id, message);
+    m_proxy.on_client_start(id, message.database, boot_now());
+    run_actions();
 }
 
-void edge_process::start_forwarded(session_id id, const adapter::start_message& message)
+bool edge_process::has_configuration(const adapter::start_message& wanted) const
 {
-    // This daemon may have read the servers long ago if it serves no group.
-    if (m_proxy.need_of_listing() == proxy::listing_need::none) {
-        m_store.refresh_servers();
-    }
-    m_proxy.on_client_start(id, message.database, boot_now());
-    run_actions();
+    return !wanted.at_least || m_proxy.routes().version() >= *wanted.at_least;
+}
+
+bool edge_process::has_usable_listing(time_point now) const
+{
+    return m_proxy.need_of_listing() != proxy::listing_need::none ||
+           now - m_listed_at <= usable_listing_age;
 }
 
 void edge_process::retry_held_starts()
@@ -204,7 +219,9 @@
     const time_point now = boot_now();
     std::vector<session_id> done;
     for (const auto& [id, held] : m_held_starts) {
-        const bool caught_up = m_proxy.routes().version() >= *held.message.at_least;
+        // With the store away, the servers that are known have to do.
+        const bool caught_up =
+            has_configuration(held.message) && (has_usable_listing(now) || now >= held.limit);
         if (caught_up) {
             m_proxy.on_client_start(id, held.message.database, now);
         }
@@ -224,16 +241,24 @@
     }
 }
 
+proxy::group_share edge_process::share_of(const std::string& service,
+                                          std::uint32_t max_connections) const
+{
+    const homes::home_table& table = m_roster.homes();
+    return {table.connection_share(service, max_connections),
+            static_cast<std::uint32_t>(table.homes_of(service, max_connections).size())};
+}
+
 void edge_process::update_served()
 {
     // Until the other daemons are known, every daemon would take itself for a home.
     if (!m_roster.known()) {
         return;
     }
-    std::set<std::string, std::less<>> served;
+    std::map<std::string, proxy::group_share, std::less<>> served;
     for (const auto& [service, limits] : m_proxy.routes().current().services) {
         if (m_roster.homes().is_home(service, limits.max_connections)) {
-            served.insert(service);
+            served.emplace(service, share_of(service, limits.max_connections));
         }
     }
     if (served == m_served) {
@@ -262,6 +287,7 @@
 {
     const time_point now = boot_now();
     m_proxy.on_tick(now);
+    m_store.check_pace();
     retry_held_starts();
     m_forwarder.on_tick(now);
     run_actions();
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -39,7 +39,7 @@
     [[nodiscard]] bool start();
 
 private:
-    /// A forwarded session whose daemon has a newer configuration than this one.
+    /// A forwarded session that waits for a newer configuration or list of servers.
     struct held_start {
         adapter::start_message message;
         time_point limit{};
@@ -63,8 +63,11 @@
     void on_client_started(session_id id, const adapter::start_message& message);
     void on_client_closed(session_id id);
     void on_forwarded_start(session_id id, const adapter::start_message& message);
-    void start_forwarded(session_id id, const adapter::start_message& message);
+    [[nodiscard]] bool has_configuration(const adapter::start_message& wanted) const;
+    [[nodiscard]] bool has_usable_listing(time_point now) const;
     void retry_held_starts();
+    [[nodiscard]] proxy::group_share share_of(const std::string& service,
+                                              std::uint32_t max_connections) const;
     void update_served();
     void on_tick();
     void on_signal(int number);
@@ -94,8 +97,10 @@
     bool m_running_actions{false};
     bool m_sessions_ended{false}; ///< of the proxy, during a shutdown
     std::optional<time_point> m_stop_limit;
+    time_point m_listed_at{}; ///< when the servers were read last
     std::map<session_id, held_start> m_held_starts;
-    std::set<std::string, std::less<>> m_served; ///< groups that this daemon is a home of
+    /// Groups that this daemon is a home of, and its share of each.
+    std::map<std::string, proxy::group_share, std::less<>> m_served;
 };
 
 } // namespace gypsumstep::edge
--- a/packages/edge/src/store_follower.cpp
+++ b/packages/edge/src/store_follower.cpp
@@ -28,8 +28,8 @@
 constexpr duration missing_pace = 1s;
 constexpr duration urgent_pace = 300ms;
 
-/// The same for a daemon that serves no group: it may be asked to at any time.
-constexpr duration idle_pace = 10s;
+/// The same for a daemon that serves no group; it reads them when it is asked to serve.
+constexpr duration idle_pace = 30s;
 
 /// First and longest pause after a failure; random, so that daemons do not call together.
 constexpr duration first_pause = 100ms;
@@ -116,8 +116,6 @@
     }
     else if (!is_feed) {
         log().info("the store holds no configuration yet");
-        m_configuration_retry.start(std::chrono::ceil<std::chrono::milliseconds>(first_pause));
-        return;
     }
     await_change();
 }
@@ -135,6 +133,15 @@
     }
 }
 
+void store_follower::check_pace()
+{
+    const auto due = std::chrono::ceil<std::chrono::milliseconds>(pace());
+    if (m_next_servers.isActive() &&
+        std::chrono::milliseconds{m_next_servers.remainingTime()} > due) {
+        m_next_servers.start(due);
+    }
+}
+
 void store_follower::read_servers()
 {
     if (m_reading_servers) {
--- a/packages/edge/src/store_follower.h
+++ b/packages/edge/src/store_follower.h
@@ -36,6 +36,13 @@
     /// The registrations are read again soon.
     void refresh_servers();
 
+    /// Brings the next reading of the registrations forward if they are needed more often
+    /// than when it was planned.
+    void check_pace();
+
+    /// The registrations are read again at once.
+    void read_servers_now() { read_servers(); }
+
     /// The configuration is read again, whatever the feed says.
     void reload();
 
--- a/packages/homes/include/gypsumstep/homes/home_table.h
+++ b/packages/homes/include/gypsumstep/homes/home_table.h
@@ -18,12 +18,17 @@
 
 namespace gypsumstep::homes {
 
+/// Processor capacity of a daemon that did not announce it, in thousandths of a core: the
+/// share that the smaller deployments give.
+inline constexpr std::uint32_t default_capacity = 250;
+
 /// A daemon as it announced itself.
 struct daemon_entry {
     std::string name;
     std::string domain; ///< failure domain
     std::string host;   ///< where it takes forwarded sessions
     std::uint16_t port{0};
+    std::uint32_t capacity{default_capacity}; ///< thousandths of a processor core
 
     friend auto operator<=>(const daemon_entry&, const daemon_entry&) = default;
 };
@@ -43,8 +48,13 @@
     /// each other's.
     static constexpr std::uint32_t connections_per_home = 4;
 
-    /// Homes of a group in each failure domain: one may fail.
-    static constexpr std::size_t homes_per_domain = 2;
+    /// More connections to one server are of no use to a home: it runs fewer statements at
+    /// a time, and the rest holds transactions whose clients pause.
+    static constexpr std::uint32_t max_connections_per_home = 8;
+
+    /// Homes of a group over all failure domains: enough to lose some, and few enough for
+    /// each to fill a part of the servers' slots that it can order by priority.
+    static constexpr std::size_t wanted_homes = 6;
 
     /// Connections that a daemon needs to one server at the least. Where the servers admit
     /// as many from all daemons, nothing is forwarded.
@@ -73,6 +83,11 @@
     [[nodiscard]] std::vector<daemon_entry> homes_of(std::string_view service,
                                                      std::uint32_t max_connections) const;
 
+    /// Connections to one server that a home of the group may use: its part of what the
+    /// server admits.
+    [[nodiscard]] std::uint32_t connection_share(std::string_view service,
+                                                 std::uint32_t max_connections) const;
+
     /// True if this daemon serves the group itself.
     [[nodiscard]] bool is_home(std::string_view service, std::uint32_t max_connections) const;
 
--- a/packages/homes/src/home_table.cpp
+++ b/packages/homes/src/home_table.cpp
@@ -3,6 +3,7 @@
 #include "gypsumstep/base/random.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace gypsumstep::homes {
@@ -20,9 +21,15 @@
     return hash;
 }
 
-std::uint64_t weight(const daemon_entry& daemon, std::string_view service)
+/// Weighted rendezvous hashing: the chance of the highest score grows with the square of
+/// the capacity, since a slow daemon also answers each statement later.
+double score(const daemon_entry& daemon, std::string_view service)
 {
-    return mix(hash_of(daemon.name), hash_of(service));
+    constexpr double hash_range = 18446744073709551616.0; // 2^64
+    const std::uint64_t hash = mix(hash_of(daemon.name), hash_of(service));
+    const double unit = (static_cast<double>(hash) + 1.0) / (hash_range + 2.0);
+    const double capacity = std::max<double>(daemon.capacity, 1.0);
+    return capacity * capacity / -std::log(unit);
 }
 
 } // namespace
@@ -41,7 +48,7 @@
         std::any_of(m_daemons.begin(), m_daemons.end(),
                     [this](const daemon_entry& each) { return each.name == m_self; });
     if (!listed) {
-        m_daemons.push_back({m_self, m_domain, "", 0});
+        m_daemons.push_back({m_self, m_domain, "", 0, default_capacity});
     }
     std::sort(m_daemons.begin(), m_daemons.end());
 }
@@ -64,11 +71,13 @@
     for (auto& [domain, members] : by_domain) {
         std::sort(members.begin(), members.end(),
                   [&](const daemon_entry& left, const daemon_entry& right) {
-                      return weight(left, service) > weight(right, service);
+                      return score(left, service) > score(right, service);
                   });
     }
+    const std::size_t per_domain =
+        (wanted_homes + by_domain.size() - 1) / std::max<std::size_t>(by_domain.size(), 1);
     // The first of every domain, then the second ones, as far as the servers have room.
-    for (std::size_t place = 0; place < homes_per_domain; ++place) {
+    for (std::size_t place = 0; place < per_domain; ++place) {
         for (const auto& [domain, members] : by_domain) {
             if (place < members.size() && homes.size() < affordable) {
                 homes.push_back(members[place]);
@@ -78,6 +87,17 @@
     return homes;
 }
 
+std::uint32_t home_table::connection_share(std::string_view service,
+                                           std::uint32_t max_connections) const
+{
+    if (max_connections == 0) {
+        return connections_per_home;
+    }
+    const auto homes = static_cast<std::uint32_t>(homes_of(service, max_connections).size());
+    return std::clamp(max_connections / std::max(homes, 1U), min_connections,
+                      max_connections_per_home);
+}
+
 bool home_table::is_home(std::string_view service, std::uint32_t max_connections) const
 {
     const auto homes = homes_of(service, max_connections);
--- a/packages/proxy/include/gypsumstep/proxy/options.h
+++ b/packages/proxy/include/gypsumstep/proxy/options.h
@@ -35,7 +35,8 @@
     /// Places that only the most urgent statements use, on top.
     std::uint32_t urgent_reserve{1};
 
-    /// Most connections to one server; adapts to what the server admits.
+    /// Most connections to one server of a group that this daemon has no share of; adapts to
+    /// what the server admits.
     std::uint32_t connections_per_server{4};
 
     /// Connections to one server that stay open without use. A server counts the
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -32,6 +32,14 @@
     urgent, ///< a group has no primary
 };
 
+/// What this daemon may use of each server of a group, beside the group's other homes.
+struct group_share {
+    std::uint32_t connections{0}; ///< most connections to one server
+    std::uint32_t homes{0};       ///< daemons that share the servers; 0 if that is not known
+
+    friend bool operator==(const group_share&, const group_share&) = default;
+};
+
 /// Numbers for gauges.
 struct proxy_numbers {
     std::size_t sessions{0};
@@ -64,9 +72,9 @@
     void on_configuration(directory::configuration next, time_point now);
     void on_servers(const std::vector<directory::server_entry>& listing, time_point now);
 
-    /// The groups whose servers this daemon connects to without being asked by a session;
-    /// all groups before the first call.
-    void set_served(std::set<std::string, std::less<>> services, time_point now);
+    /// The groups whose servers this daemon connects to without being asked by a session,
+    /// and its share of each; all groups before the first call.
+    void set_served(std::map<std::string, group_share, std::less<>> services, time_point now);
 
     // Steps of promotions.
     void on_shared_state(const std::string& service,
@@ -128,7 +136,8 @@
     bool try_start_read(group& of, const task_ptr& work, time_point now);
     [[nodiscard]] dispatch::candidate make_candidate(const group& of, const server& chosen,
                                                      const task& work, time_point now) const;
-    [[nodiscard]] std::uint32_t limit_of(const task& work) const;
+    [[nodiscard]] std::uint32_t statement_limit(const server& of) const;
+    [[nodiscard]] std::uint32_t limit_of(const task& work, const server& at) const;
     [[nodiscard]] std::uint32_t places(const group& of, const task& work, time_point now) const;
     [[nodiscard]] duration expected_wait(const group& of, const task& work, std::size_t ahead,
                                          time_point now) const;
@@ -201,6 +210,7 @@
 
     [[nodiscard]] bool serves(const std::string& service) const;
     [[nodiscard]] bool has_links(const std::string& service) const;
+    [[nodiscard]] group_share share_of(const std::string& service) const;
 
     session* find_session(session_id id);
     link* find_link(link_id id);
@@ -215,7 +225,7 @@
     random_source m_random;
     directory::route_table m_routes;
     directory::server_directory m_directory;
-    std::optional<std::set<std::string, std::less<>>> m_served;
+    std::optional<std::map<std::string, group_share, std::less<>>> m_served;
     std::map<session_id, std::unique_ptr<session>> m_sessions;
     std::map<link_id, std::unique_ptr<link>> m_links;
     std::map<server_id, std::unique_ptr<server>> m_servers;
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -63,9 +63,20 @@
     return m_directory.find(of.id) != nullptr && now >= of.avoid_until;
 }
 
-std::uint32_t proxy::limit_of(const task& work) const
+std::uint32_t proxy::statement_limit(const server& of) const
 {
-    return m_options.statements_per_server + (work.priority == 0 ? m_options.urgent_reserve : 0);
+    const directory::server_record* const record = m_directory.find(of.id);
+    const std::uint32_t homes = share_of(of.service).homes;
+    if (record == nullptr || homes == 0) {
+        return m_options.statements_per_server;
+    }
+    return dispatch::fair_statement_limit(record->entry.slots, homes,
+                                          m_options.statements_per_server);
+}
+
+std::uint32_t proxy::limit_of(const task& work, const server& at) const
+{
+    return statement_limit(at) + (work.priority == 0 ? m_options.urgent_reserve : 0);
 }
 
 bool proxy::try_start_on_primary(group& of, const task_ptr& work, time_point now)
@@ -75,7 +86,7 @@
         return false;
     }
     const bool takes_slot = work->kind == detail::task_kind::statement;
-    if (takes_slot && leader->running >= limit_of(*work)) {
+    if (takes_slot && leader->running >= limit_of(*work, *leader)) {
         return false;
     }
     link* const chosen = idle_link(*leader, find_session(work->session));
@@ -97,7 +108,7 @@
     made.is_primary = of.leader == chosen.id;
     made.distance = chosen.distance;
     made.in_flight = chosen.running;
-    made.limit = limit_of(work);
+    made.limit = limit_of(work, chosen);
     made.usual_time = chosen.usual_time;
     made.needs_connection = !has_idle_link(chosen);
     made.expects_lag_refusal = chosen.applied < work.at_least->position && !made.is_primary &&
@@ -160,7 +171,7 @@
                 : work.at_least && make_candidate(of, *each, work, now).expects_lag_refusal) {
             continue;
         }
-        total += m_options.statements_per_server;
+        total += statement_limit(*each);
     }
     return total;
 }
--- a/packages/proxy/src/groups.cpp
+++ b/packages/proxy/src/groups.cpp
@@ -91,7 +91,7 @@
     }
 }
 
-void proxy::set_served(std::set<std::string, std::less<>> services, time_point now)
+void proxy::set_served(std::map<std::string, group_share, std::less<>> services, time_point now)
 {
     m_served = std::move(services);
     for (auto& [id, each] : m_servers) {
@@ -106,6 +106,16 @@
     return !m_served || m_served->contains(service);
 }
 
+group_share proxy::share_of(const std::string& service) const
+{
+    if (m_served) {
+        if (const auto found = m_served->find(service); found != m_served->end()) {
+            return found->second;
+        }
+    }
+    return {m_options.connections_per_server, 0};
+}
+
 dispatch::proximity proxy::proximity_of(const std::string& domain) const
 {
     if (domain == m_options.domain) {
--- a/packages/proxy/src/upkeep.cpp
+++ b/packages/proxy/src/upkeep.cpp
@@ -57,7 +57,7 @@
     }
     for (auto next = m_servers.begin(); next != m_servers.end();) {
         server& each = *next->second;
-        if (each.max_links < m_options.connections_per_server &&
+        if (each.max_links < share_of(each.service).connections &&
             now - each.max_links_raised >= raise_links_after) {
             ++each.max_links;
             each.max_links_raised = now;
