Start no session before the list of daemons is known

Cause: until a restarted daemon had read the other daemons, it took itself for a home of every group; after the closing restart 85 daemons connected to servers that admit 53 connections, and 4,260 connections were reset. Ruled out: old connections that servers still count (six homes leave room for them). A daemon is ready once it knows the list; a session that comes sooner waits 1.5 s at most.

--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -25,6 +25,9 @@
 /// Time for a newer configuration and a fresh list of servers to reach this daemon too.
 constexpr duration held_start_limit = 500ms;
 
+/// Time for the list of daemons to arrive after a start; clients give up after 2 s.
+constexpr duration early_start_limit = 1500ms;
+
 /// A daemon that serves no group reads the servers again before it serves a forwarded session
 /// if its list is older: as old as the list of a home may be.
 constexpr duration usable_listing_age = 4s;
@@ -167,6 +170,16 @@
 }
 
 void edge_process::on_client_started(session_id id, const adapter::start_message& message)
+{
+    if (!m_roster.known()) {
+        // Every daemon would take itself for a home, and the servers do not admit them all.
+        m_early_starts.insert_or_assign(id, held_start{message, boot_now() + early_start_limit});
+        return;
+    }
+    start_session(id, message);
+}
+
+void edge_process::start_session(session_id id, const adapter::start_message& message)
 {
     const directory::route* const route = m_proxy.routes().find(message.database);
     if (route != nullptr) {
@@ -249,6 +262,22 @@
             static_cast<std::uint32_t>(table.homes_of(service, max_connections).size())};
 }
 
+void edge_process::run_early_starts()
+{
+    const time_point now = boot_now();
+    std::vector<std::pair<session_id, adapter::start_message>> due;
+    std::erase_if(m_early_starts, [&](const auto& each) {
+        const bool is_due = m_roster.known() || now >= each.second.limit;
+        if (is_due) {
+            due.emplace_back(each.first, each.second.message);
+        }
+        return is_due;
+    });
+    for (const auto& [id, message] : due) {
+        start_session(id, message);
+    }
+}
+
 void edge_process::update_served()
 {
     // Until the other daemons are known, every daemon would take itself for a home.
@@ -275,6 +304,7 @@
 void edge_process::on_client_closed(session_id id)
 {
     m_held_starts.erase(id);
+    m_early_starts.erase(id);
     if (m_forwarder.owns(id)) {
         m_forwarder.on_client_closed(id);
         return;
@@ -289,6 +319,7 @@
     m_proxy.on_tick(now);
     m_store.check_pace();
     retry_held_starts();
+    run_early_starts();
     m_forwarder.on_tick(now);
     run_actions();
     if (m_stop_limit && ((m_sessions_ended && m_forwarder.size() == 0) || now >= *m_stop_limit)) {
@@ -351,6 +382,8 @@
 
 void edge_process::run(proxy::close_session& next)
 {
+    m_held_starts.erase(next.session);
+    m_early_starts.erase(next.session);
     listener_of(next.session).close(next.session);
 }
 
@@ -442,7 +475,7 @@
     if (path != adapter::readiness_path) {
         return {status_not_found, "not found\n"};
     }
-    const bool ready = m_proxy.ready();
+    const bool ready = m_proxy.ready() && m_roster.known();
     if (ready != m_was_ready) {
         m_was_ready = ready;
         log().info(ready ? "ready for clients" : "not ready for clients");
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -39,7 +39,7 @@
     [[nodiscard]] bool start();
 
 private:
-    /// A forwarded session that waits for a newer configuration or list of servers.
+    /// A session that waits for a newer configuration, list of servers or list of daemons.
     struct held_start {
         adapter::start_message message;
         time_point limit{};
@@ -61,6 +61,8 @@
     client_events events_of_daemons();
     client_listener& listener_of(session_id id);
     void on_client_started(session_id id, const adapter::start_message& message);
+    void start_session(session_id id, const adapter::start_message& message);
+    void run_early_starts();
     void on_client_closed(session_id id);
     void on_forwarded_start(session_id id, const adapter::start_message& message);
     [[nodiscard]] bool has_configuration(const adapter::start_message& wanted) const;
@@ -99,6 +101,7 @@
     std::optional<time_point> m_stop_limit;
     time_point m_listed_at{}; ///< when the servers were read last
     std::map<session_id, held_start> m_held_starts;
+    std::map<session_id, held_start> m_early_starts; ///< of clients, before the daemons are known
     /// Groups that this daemon is a home of, and its share of each.
     std::map<std::string, proxy::group_share, std::less<>> m_served;
 };
