--- a/packages/proxy/src/upkeep.cpp
+++ b/packages/proxy/src/upkeep.cpp
@@ -19,10 +19,6 @@
 constexpr int hedge_multiple = 6;
 constexpr duration min_hedge_delay = 300ms;
 
-/// A waiting statement is refused before its time is over once its expected wait is this
-/// many times too long; the estimate is rough.
-constexpr int hopeless_margin = 2;
-
 /// Not sooner than this after its arrival: the first estimate admitted it.
 constexpr duration recheck_after = 100ms;
 
@@ -150,7 +146,7 @@
     std::size_t ahead = 0;
     of.queue.visit([&](dispatch::waiting& item) {
         const task& work = static_cast<const task&>(item);
-        const duration wait = expected_wait(of, work, ahead, now) / hopeless_margin;
+        const duration wait = expected_wait(of, work, ahead, now);
         if (now >= item.give_up_at ||
             (item.arrived + recheck_after <= now && now + wait >= item.give_up_at)) {
             expired.emplace_back(static_cast<task*>(&item));
