--- a/packages/proxy/src/upkeep.cpp
+++ b/packages/proxy/src/upkeep.cpp
@@ -145,6 +145,7 @@
         });
     // Ending one statement may end others; the counts keep these alive.
     std::vector<task_ptr> expired;
+    expired.reserve(unservable.size());
     for (dispatch::waiting* const item : unservable) {
         expired.emplace_back(static_cast<task*>(item));
     }
--- a/testing/soak/daemon_set.cpp
+++ b/testing/soak/daemon_set.cpp
@@ -9,6 +9,8 @@
 #include <csignal>
 #include <utility>
 
+#include <sys/prctl.h>
+
 namespace gypsumstep::soak {
 namespace {
 
@@ -66,6 +68,8 @@
     const QString log = QString::fromStdString(which.settings_file + ".log");
     which.process.setStandardOutputFile(log, QIODevice::Append);
     which.process.setStandardErrorFile(log, QIODevice::Append);
+    // No daemon outlives a soak that was ended.
+    which.process.setChildProcessModifier([] { (void)::prctl(PR_SET_PDEATHSIG, SIGKILL); });
     which.process.start(QString::fromStdString(m_program),
                         {"--settings=" + QString::fromStdString(which.settings_file)});
 }
--- a/testing/soak/soak_run.cpp
+++ b/testing/soak/soak_run.cpp
@@ -29,6 +29,13 @@
 constexpr std::chrono::milliseconds longest_quiet{900};
 constexpr std::chrono::milliseconds longest_fault{2500};
 
+/// How far replicas are behind while nothing harms them: enough for a read that ignores it to
+/// miss its session's last write.
+constexpr std::chrono::milliseconds usual_replica_delay{60};
+
+/// Share of answers that servers lose at all times.
+constexpr double usual_lost_answers = 0.005;
+
 /// Longest delay of a piece of bytes on a slow link.
 constexpr std::chrono::milliseconds longest_delay{300};
 
@@ -65,6 +72,8 @@
         m_server_links.at(index) = std::make_unique<fault_proxy>(m_group.listen(index));
         m_server_ports.at(index) = m_server_links.at(index)->listen();
     }
+    m_group.set_replica_delay(usual_replica_delay);
+    m_group.set_lost_answers(usual_lost_answers);
     m_store_link = std::make_unique<fault_proxy>(m_store.listen());
     const std::uint16_t store_port = m_store_link->listen();
     write_configuration();
@@ -202,8 +211,8 @@
         m_group.set_lost_answers(0.05);
         m_group.set_replica_delay(some_time(longest_fault) / 4);
         QTimer::singleShot(some_time(longest_fault), this, [this] {
-            m_group.set_lost_answers(0.0);
-            m_group.set_replica_delay(std::chrono::milliseconds{5});
+            m_group.set_lost_answers(usual_lost_answers);
+            m_group.set_replica_delay(usual_replica_delay);
         });
         return;
     }
