--- a/testing/soak/soak_client.cpp
+++ b/testing/soak/soak_client.cpp
@@ -22,6 +22,10 @@
 constexpr double share_rollback = 0.15;
 constexpr double share_new_session = 0.05;
 
+/// Share of statements during which the client leaves, and the longest time until it does.
+constexpr double share_leave = 0.02;
+constexpr duration longest_until_leave = 8ms;
+
 constexpr std::uint64_t items = 50;
 
 } // namespace
@@ -209,6 +213,17 @@
     const std::string line = "QUERY " + m_pending_id + ' ' + next.text + "\r\n";
     m_socket->write(line.data(), static_cast<qint64>(line.size()));
     m_socket->flush();
+    if (m_random.chance(share_leave)) {
+        rest(longest_until_leave, [this] { leave(); });
+    }
+}
+
+void soak_client::leave()
+{
+    if (!m_waiting) {
+        return;
+    }
+    fail_operation(m_commit_sent ? attempt_end::unknown : attempt_end::promised);
 }
 
 void soak_client::on_step_done(const statement::answer& content)
@@ -236,7 +251,7 @@
 void soak_client::fail_operation(attempt_end how)
 {
     end_operation(how);
-    // As the platform's clients do after an error that leaves the session in doubt.
+    // Nothing that the session still receives counts any more.
     m_socket->disconnect(this);
     m_socket->disconnectFromHost();
     m_socket.release()->deleteLater();
--- a/testing/soak/soak_client.h
+++ b/testing/soak/soak_client.h
@@ -66,6 +66,7 @@
     void read();
     void on_answer(const statement::answer& content);
     void on_step_done(const statement::answer& content);
+    void leave();
     void fail_operation(attempt_end how);
     void end_operation(attempt_end how);
     void lose_session();
