Stop daemons as planned at the end of each soak run

The soak could not tell a request that a planned stop cut off from one that a fault did. Each run now ends with two stops with nothing else harmed; a request that a server has run, or that waited longer than 200 ms, must not be cut off.

--- a/testing/soak/oracle.cpp
+++ b/testing/soak/oracle.cpp
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace gypsumstep::soak {
+namespace {
+
+/// A request that is cut off within this time may not have been read; as the platform's
+/// bounds say.
+constexpr std::chrono::milliseconds loss_slack{200};
+
+} // namespace
 
 using adapter::standins::executed_statement;
 using adapter::standins::log_entry;
@@ -116,6 +123,17 @@
     }
 }
 
+void oracle::cut_off(const std::string& id, std::chrono::steady_clock::time_point sent_at)
+{
+    // What the daemon had not read when it closed an idle session is the client's to repeat.
+    const bool at_server = m_runs.contains(id);
+    const bool held = std::chrono::steady_clock::now() - sent_at > loss_slack;
+    if (m_planned_work && (at_server || held)) {
+        violated("LOST: " + id + " was cut off by a planned stop" +
+                 (at_server ? ", at a server already" : ""));
+    }
+}
+
 void oracle::ended(std::uint64_t attempt, attempt_end how)
 {
     m_ends[attempt] = how;
--- a/testing/soak/oracle.h
+++ b/testing/soak/oracle.h
@@ -56,6 +56,12 @@
     /// A statement was answered with success.
     void answered(const std::string& id, const statement::answer& content);
 
+    /// The connection of a client ended while a statement had no answer.
+    void cut_off(const std::string& id, std::chrono::steady_clock::time_point sent_at);
+
+    /// From now on the daemons are only stopped as planned, and nothing else harms them.
+    void begin_planned_work() { m_planned_work = true; }
+
     /// An attempt is over.
     void ended(std::uint64_t attempt, attempt_end how);
 
@@ -99,6 +105,7 @@
     std::vector<stale_read> m_stale; ///< unless the commit was rolled back
     std::vector<std::string> m_violations;
     std::size_t m_executed{0};
+    bool m_planned_work{false};
 };
 
 } // namespace gypsumstep::soak
--- a/testing/soak/soak_client.cpp
+++ b/testing/soak/soak_client.cpp
@@ -80,6 +80,9 @@
     }
     m_socket->disconnect(this);
     m_socket.release()->deleteLater();
+    if (m_waiting) {
+        m_oracle.cut_off(m_pending_id, m_sent_at);
+    }
     if (m_waiting || m_in_transaction) {
         end_operation(m_commit_sent ? attempt_end::unknown : attempt_end::promised);
     }
@@ -210,6 +213,7 @@
     m_commit_sent =
         m_commit_sent || (m_in_transaction ? next.text == "COMMIT" && m_wrote : next.writes);
     m_waiting = true;
+    m_sent_at = std::chrono::steady_clock::now();
     const std::string line = "QUERY " + m_pending_id + ' ' + next.text + "\r\n";
     m_socket->write(line.data(), static_cast<qint64>(line.size()));
     m_socket->flush();
--- a/testing/soak/soak_client.h
+++ b/testing/soak/soak_client.h
@@ -93,6 +93,7 @@
     bool m_wrote{false};       ///< a write of this operation was sent
     bool m_commit_sent{false}; ///< what may commit was sent
     std::chrono::steady_clock::time_point m_began_at{};
+    std::chrono::steady_clock::time_point m_sent_at{}; ///< of the pending statement
     std::map<std::string, std::string> m_values;
     std::uint64_t m_reads_done{0};
     std::uint64_t m_writes_done{0};
--- a/testing/soak/soak_run.cpp
+++ b/testing/soak/soak_run.cpp
@@ -42,6 +42,11 @@
 /// Operations that have to succeed after the last fault.
 constexpr std::uint64_t wanted_operations = 40;
 
+/// Daemons that are stopped one after the other without any other fault, and the time for
+/// one of them to end and to start again.
+constexpr std::size_t planned_stops = 2;
+constexpr std::chrono::milliseconds stop_time{4000};
+
 /// Time for clients to end their last operation.
 constexpr std::chrono::milliseconds settle_time{2500};
 
@@ -269,6 +274,20 @@
            total_writes() >= writes + wanted_operations;
 }
 
+void soak_run::stop_as_planned()
+{
+    m_group.set_lost_answers(0.0);
+    // What was harmed before has had its consequences by then.
+    wait(settle_time);
+    m_oracle.begin_planned_work();
+    for (std::size_t count = 0; count < planned_stops; ++count) {
+        const std::size_t daemon = m_random.below(m_daemons->size());
+        note("planned stop of daemon " + std::to_string(daemon));
+        m_daemons->harm(daemon, process_fault::stop, std::chrono::milliseconds{0});
+        wait(stop_time);
+    }
+}
+
 std::vector<std::string> soak_run::play()
 {
     wait(start_time);
@@ -298,6 +317,7 @@
                           std::to_string(total_writes() - writes) +
                           " writes succeeded after the last fault");
     }
+    stop_as_planned();
     for (const auto& each : m_clients) {
         each->stop();
     }
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -55,6 +55,7 @@
     void harm_link(fault_proxy& link, const std::string& name);
     void replace_primary();
     void heal();
+    void stop_as_planned();
     void wait(std::chrono::milliseconds time);
     [[nodiscard]] bool served_since(std::uint64_t reads, std::uint64_t writes) const;
     [[nodiscard]] std::uint64_t total_reads() const;
