--- a/packages/edge/src/daemon_roster.cpp
+++ b/packages/edge/src/daemon_roster.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-daemon_roster::daemon_roster(const adapter::node_settings& settings, const store_clock& clock,
+daemon_roster::daemon_roster(const adapter::node_settings& settings, store_clock& clock,
                              std::uint64_t seed, std::function<void()> on_change)
     : m_self{settings.name, settings.domain, settings.clients.host, settings.forwarding_port,
              settings.capacity},
@@ -54,11 +54,7 @@
 
 void daemon_roster::start()
 {
-    if (!m_started) {
-        m_started = true;
-        announce();
-        read_list();
-    }
+    read_list();
 }
 
 void daemon_roster::announce()
@@ -86,21 +82,23 @@
 
 void daemon_roster::on_list(const result<adapter::http_response>& response)
 {
-    std::vector<std::string> malformed;
-    const auto read = response.has_error()
-                          ? result<std::vector<homes::announcement>>{response.error()}
-                          : adapter::decode_announcements(response.value(), malformed);
-    for (const std::string& each : malformed) {
-        log().warn("ignored a malformed announcement", {{"row", each}});
-    }
+    const auto read = response.has_error() ? result<adapter::announcement_rows>{response.error()}
+                                           : adapter::decode_announcements(response.value());
     if (read.has_error()) {
         log().warn("could not read the daemons' announcements", {{"cause", read.error().message}});
         m_next_list.start(to_timer(m_random.between(retry_pause / 2, retry_pause)));
         return;
     }
+    for (const std::string& each : read.value().malformed) {
+        log().warn("ignored a malformed announcement", {{"row", each}});
+    }
+    m_clock.set(read.value().moment.now);
+    if (m_lists == 0) {
+        announce();
+    }
     const auto oldest = m_clock.now() - announcement_lifetime;
     std::vector<homes::daemon_entry> daemons;
-    for (const homes::announcement& each : read.value()) {
+    for (const homes::announcement& each : read.value().announcements) {
         if (each.announced_at >= oldest) {
             daemons.push_back(each.daemon);
         }
--- a/packages/edge/src/daemon_roster.h
+++ b/packages/edge/src/daemon_roster.h
@@ -20,11 +20,10 @@
 class daemon_roster : public QObject {
 public:
     /// \param on_change called when the daemons changed
-    daemon_roster(const adapter::node_settings& settings, const store_clock& clock,
-                  std::uint64_t seed, std::function<void()> on_change);
+    daemon_roster(const adapter::node_settings& settings, store_clock& clock, std::uint64_t seed,
+                  std::function<void()> on_change);
 
-    /// Announces this daemon and reads the list; the store's clock is known. Later calls
-    /// do nothing.
+    /// Reads the list, and announces this daemon once the store's clock is known from it.
     void start();
 
     [[nodiscard]] homes::home_table& homes() { return m_homes; }
@@ -45,8 +44,7 @@
     http_caller m_store;
     QTimer m_next_announcement;
     QTimer m_next_list;
-    const store_clock& m_clock;
-    bool m_started{false};
+    store_clock& m_clock;
     bool m_known{false};
     std::size_t m_lists{0}; ///< read so far
 };
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -117,10 +117,7 @@
                   },
                   [this] { return m_proxy.need_of_listing(); },
                   [this] { return m_roster.homes().daemons().size(); },
-                  [this](promotion::store_time now) {
-                      m_clock.set(now);
-                      m_roster.start();
-                  },
+                  [this](promotion::store_time now) { m_clock.set(now); },
               }},
       m_promotions{m_settings, m_clock, m_proxy,
                    [this](const std::string& service) {
@@ -349,6 +346,9 @@
     log().info("started", {{"daemon", m_settings.name},
                            {"domain", m_settings.domain},
                            {"store", m_settings.store.host}});
+    // Nobody is served before the other daemons are known, so their list is not waited for
+    // behind other reads.
+    m_roster.start();
     m_store.start();
     m_tick.start(tick_interval);
     return true;
