--- a/testing/soak/daemon_set.cpp
+++ b/testing/soak/daemon_set.cpp
@@ -2,8 +2,11 @@
 
 #include "settings_standin.h"
 
+#include <QCoreApplication>
 #include <QDir>
 #include <QFile>
+#include <QHostAddress>
+#include <QTcpServer>
 #include <QTimer>
 
 #include <csignal>
@@ -20,18 +23,47 @@
 /// Before an ended daemon starts again.
 constexpr std::chrono::milliseconds restart_pause{100};
 
+/// Blocks of ports that are tried before the soak gives up.
+constexpr std::size_t most_blocks = 200;
+
+bool is_free(std::uint16_t first, std::size_t count)
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        QTcpServer probe;
+        if (!probe.listen(QHostAddress::LocalHost, static_cast<quint16>(first + index))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// The first free block of ports. Processes begin their search at different places, so that
+/// two soaks that start together do not take the same one.
+std::uint16_t find_ports(std::uint16_t first, std::size_t count)
+{
+    const auto begin = static_cast<std::size_t>(QCoreApplication::applicationPid());
+    for (std::size_t tried = 0; tried < most_blocks; ++tried) {
+        const auto block =
+            static_cast<std::uint16_t>(first + (begin + tried) % most_blocks * count);
+        if (is_free(block, count)) {
+            return block;
+        }
+    }
+    return first;
+}
+
 } // namespace
 
 daemon_set::daemon_set(std::string program, std::size_t count, std::uint16_t first_port,
                        std::uint16_t store_port)
-    : m_program{std::move(program)}, m_first_port{first_port}
+    : m_program{std::move(program)}, m_first_port{find_ports(first_port, count * ports_each)}
 {
     for (std::size_t index = 0; index < count; ++index) {
         auto made = std::make_unique<daemon>();
         made->name = "daemon-" + std::to_string(index);
         made->settings_file =
             m_directory.filePath(QString::fromStdString(made->name)).toStdString();
-        const auto port = static_cast<std::uint16_t>(first_port + index * ports_each);
+        const auto port = client_port(index);
         QFile file{QString::fromStdString(made->settings_file)};
         if (file.open(QIODevice::WriteOnly)) {
             file.write(
--- a/testing/soak/daemon_set.h
+++ b/testing/soak/daemon_set.h
@@ -19,7 +19,7 @@
 class daemon_set : public QObject {
 public:
     /// \param program path of gypsumstep-edge
-    /// \param first_port each daemon takes four ports from there on
+    /// \param first_port each daemon takes four ports of a free block from there on
     daemon_set(std::string program, std::size_t count, std::uint16_t first_port,
                std::uint16_t store_port);
     ~daemon_set() override;
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -19,7 +19,8 @@
 ABSL_FLAG(std::uint32_t, clients, 20, "clients of a run");
 ABSL_FLAG(std::uint32_t, seconds, 8, "time with faults, s");
 ABSL_FLAG(std::uint32_t, recovery_seconds, 12, "time to serve again after the last fault, s");
-ABSL_FLAG(std::uint32_t, first_port, 21'000, "four loopback ports a daemon are used from here on");
+ABSL_FLAG(std::uint32_t, first_port, 21'000,
+          "a free block of four loopback ports a daemon is searched from here on");
 ABSL_FLAG(std::string, logs, "", "folder for the daemons' logs of failed seeds");
 // NOLINTEND
 
