--- a/packages/dispatch/tests/test_overload.cpp
+++ b/packages/dispatch/tests/test_overload.cpp
@@ -1,5 +1,7 @@
 // Plays a group whose replicas lag behind what any reader allows, so that its primary alone has
 // to serve a quarter more than it can, as on scale-2 of the grown deployments.
+#include "played_slots.h"
+
 #include "gypsumstep/base/random.h"
 #include "gypsumstep/dispatch/wait_estimate.h"
 
@@ -7,7 +9,6 @@
 
 #include <algorithm>
 #include <memory>
-#include <queue>
 #include <vector>
 
 using namespace gypsumstep;
@@ -60,7 +61,7 @@
     wait_queue queue;
     wait_estimate estimate;
     outcome seen;
-    std::priority_queue<time_point, std::vector<time_point>, std::greater<>> busy;
+    test::played_slots servers{slots};
     const auto refuse = [&](waiting& which, time_point now) {
         ++seen.refused;
         seen.waited_by_refused += now - which.arrived;
@@ -69,7 +70,7 @@
         queue.visit([&](waiting& first) {
             queue.remove(first);
             const duration work = static_cast<item&>(first).work;
-            busy.push(now + work);
+            servers.occupy(now + work);
             estimate.completed(work);
             ++seen.served;
             return false;
@@ -80,11 +81,7 @@
     };
     for (const auto& each : all) {
         const time_point now = each->arrived;
-        while (!busy.empty() && busy.top() <= now) {
-            const time_point freed = busy.top();
-            busy.pop();
-            start_next(freed);
-        }
+        servers.pass_until(now, start_next);
         for (waiting* const late : find_unservable(queue, now, expected)) {
             queue.remove(*late);
             refuse(*late, now);
@@ -97,7 +94,7 @@
             continue;
         }
         queue.push(*each);
-        if (busy.size() < slots) {
+        if (servers.has_free()) {
             start_next(now);
         }
     }
--- a/packages/dispatch/tests/test_played_load.cpp
+++ b/packages/dispatch/tests/test_played_load.cpp
@@ -3,6 +3,8 @@
 //
 // The load is the burst of a heavy day: 2.5 times the usual rate of the lowest priority for
 // six seconds, on three servers of five slots.
+#include "played_slots.h"
+
 #include "gypsumstep/base/random.h"
 #include "gypsumstep/dispatch/wait_queue.h"
 
@@ -11,7 +13,6 @@
 #include <algorithm>
 #include <array>
 #include <memory>
-#include <queue>
 #include <vector>
 
 using namespace gypsumstep;
@@ -61,35 +62,27 @@
               [](const auto& left, const auto& right) { return left->arrived < right->arrived; });
     std::array<std::size_t, kinds.size()> asked{};
     std::array<std::size_t, kinds.size()> in_aim{};
-    std::priority_queue<time_point, std::vector<time_point>, std::greater<>> busy;
+    test::played_slots servers{slots};
     wait_queue queue;
     const auto start_next = [&](time_point now) {
         queue.visit([&](waiting& first) {
             queue.remove(first);
             const item& chosen = static_cast<item&>(first);
             const time_point end = now + random.exponential(kinds.at(chosen.which).work);
-            busy.push(end);
+            servers.occupy(end);
             in_aim.at(chosen.which) += end - chosen.arrived <= kinds.at(chosen.which).aim ? 1 : 0;
             return false;
         });
     };
     for (const auto& each : all) {
-        while (!busy.empty() && busy.top() <= each->arrived) {
-            const time_point freed = busy.top();
-            busy.pop();
-            start_next(freed);
-        }
+        servers.pass_until(each->arrived, start_next);
         ++asked.at(each->which);
         queue.push(*each);
-        if (busy.size() < slots) {
+        if (servers.has_free()) {
             start_next(each->arrived);
         }
     }
-    while (!busy.empty()) {
-        const time_point freed = busy.top();
-        busy.pop();
-        start_next(freed);
-    }
+    servers.pass_until(time_point::max(), start_next);
     std::array<double, kinds.size()> shares{};
     for (std::size_t which = 0; which < kinds.size(); ++which) {
         shares.at(which) =
--- a/packages/promotion/tests/test_coordinator.cpp
+++ b/packages/promotion/tests/test_coordinator.cpp
@@ -77,6 +77,17 @@
     return state;
 }
 
+/// Takes the primary away and answers the daemon's questions up to the survey.
+group_state survey_lost_primary(driver& daemon)
+{
+    group_state group = healthy_group();
+    group.primary.reset();
+    daemon.run(group);
+    daemon.tested.on_shared_state(quiet_store(), daemon.now);
+    daemon.tested.on_survey(both_answers, daemon.now);
+    return group;
+}
+
 } // namespace
 
 TEST_CASE("a healthy group is left alone")
@@ -168,11 +179,7 @@
 TEST_CASE("a lost race for the claim orders nothing")
 {
     driver daemon;
-    group_state group = healthy_group();
-    group.primary.reset();
-    daemon.run(group);
-    daemon.tested.on_shared_state(quiet_store(), daemon.now);
-    daemon.tested.on_survey(both_answers, daemon.now);
+    (void)survey_lost_primary(daemon);
     daemon.collect();
     daemon.tested.on_claim_written(call_outcome::conflict, daemon.now);
     daemon.collect();
@@ -182,11 +189,7 @@
 TEST_CASE("a second target gets a higher token than the first")
 {
     driver daemon;
-    group_state group = healthy_group();
-    group.primary.reset();
-    daemon.run(group);
-    daemon.tested.on_shared_state(quiet_store(), daemon.now);
-    daemon.tested.on_survey(both_answers, daemon.now);
+    const group_state group = survey_lost_primary(daemon);
     daemon.tested.on_claim_written(call_outcome::done, daemon.now);
     daemon.collect();
     daemon.tested.on_order(call_outcome::conflict, daemon.now);
@@ -206,11 +209,7 @@
 TEST_CASE("an unanswered order is repeated with the same token and target")
 {
     driver daemon;
-    group_state group = healthy_group();
-    group.primary.reset();
-    daemon.run(group);
-    daemon.tested.on_shared_state(quiet_store(), daemon.now);
-    daemon.tested.on_survey(both_answers, daemon.now);
+    (void)survey_lost_primary(daemon);
     daemon.tested.on_claim_written(call_outcome::done, daemon.now);
     daemon.collect();
     daemon.tested.on_order(call_outcome::failed, daemon.now);
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -184,6 +184,11 @@
     group& group_of(const std::string& service);
     group* find_group(const std::string& service);
     void choose_leader(group& of, time_point now);
+    void add_server(const directory::server_record& record);
+    void remove_server(server_id id, time_point now);
+    [[nodiscard]] dispatch::proximity proximity_of(const std::string& domain) const;
+
+    // Promotions: promotions.cpp.
     void update_promotion(group& of, time_point now);
     void run_promotion_actions(group& of, time_point now);
     void start_survey(group& of, const promotion::survey_replicas& wanted, time_point now);
@@ -191,9 +196,6 @@
     bool ask_status(group& of, server& who, time_point now);
     void finish_survey(group& of, time_point now);
     void resume_replicas(group& of, time_point now);
-    void add_server(const directory::server_record& record);
-    void remove_server(server_id id, time_point now);
-    [[nodiscard]] dispatch::proximity proximity_of(const std::string& domain) const;
 
     // Time: upkeep.cpp.
     void check_links(time_point now);
--- a/packages/proxy/tests/harness.h
+++ b/packages/proxy/tests/harness.h
@@ -133,6 +133,24 @@
         settle();
     }
 
+    /// The server stops answering, then the statement is sent; earlier answers are forgotten.
+    void send_to_silent(const std::string& server, session_id from, statement::statement request)
+    {
+        servers[server].silent = true;
+        answers.clear();
+        send(from, std::move(request));
+    }
+
+    /// Starts the proxy and a client's transaction that has written.
+    session_id start_writing_transaction()
+    {
+        start();
+        const session_id client = connect("primary");
+        (void)ask(client, begin());
+        (void)ask(client, write());
+        return client;
+    }
+
     /// Sends a statement and returns its answer; nothing if there is none yet.
     std::optional<statement::answer> ask(session_id from, statement::statement request)
     {
--- a/packages/proxy/tests/test_outcomes.cpp
+++ b/packages/proxy/tests/test_outcomes.cpp
@@ -9,9 +9,7 @@
     harness world;
     world.start();
     const session_id client = world.connect("primary");
-    world.servers["p"].silent = true;
-    world.answers.clear();
-    world.send(client, harness::write());
+    world.send_to_silent("p", client, harness::write());
     world.reset("p");
     const auto answer = world.answer_of(client);
     REQUIRE(answer);
@@ -26,9 +24,7 @@
     harness world;
     world.start();
     const session_id client = world.connect("primary");
-    world.servers["p"].silent = true;
-    world.answers.clear();
-    world.send(client, harness::write());
+    world.send_to_silent("p", client, harness::write());
     world.pass(1100ms);
     const auto answer = world.answer_of(client);
     REQUIRE(answer);
@@ -40,13 +36,8 @@
 TEST_CASE("a lost commit of a transaction that wrote has an unknown outcome")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
-    world.servers["p"].silent = true;
-    world.answers.clear();
-    world.send(client, harness::commit());
+    const session_id client = world.start_writing_transaction();
+    world.send_to_silent("p", client, harness::commit());
     world.reset("p");
     CHECK(world.answer_of(client)->error == error_class::outcome_unknown);
     CHECK(world.answer_of(client)->state == transaction_state::idle);
@@ -59,9 +50,7 @@
     const session_id client = world.connect("primary");
     (void)world.ask(client, harness::begin());
     (void)world.ask(client, harness::read());
-    world.servers["p"].silent = true;
-    world.answers.clear();
-    world.send(client, harness::commit());
+    world.send_to_silent("p", client, harness::commit());
     world.reset("p");
     CHECK(world.answer_of(client)->error == error_class::aborted);
 }
@@ -69,13 +58,8 @@
 TEST_CASE("a statement lost inside a transaction aborts it")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
-    world.servers["p"].silent = true;
-    world.answers.clear();
-    world.send(client, harness::write());
+    const session_id client = world.start_writing_transaction();
+    world.send_to_silent("p", client, harness::write());
     world.reset("p");
     CHECK(world.answer_of(client)->error == error_class::aborted);
     CHECK(world.servers["p"].writes == 0);
@@ -88,9 +72,7 @@
     world.start();
     const session_id client = world.connect("bounded");
     world.servers["r"].silent = true;
-    world.servers["r2"].silent = true;
-    world.answers.clear();
-    world.send(client, harness::read());
+    world.send_to_silent("r2", client, harness::read());
     const auto sent = world.commands(command_kind::forward);
     REQUIRE(sent.size() == 1);
     const std::string other = sent[0].server == "r" ? "r2" : "r";
@@ -106,9 +88,7 @@
     const session_id client = world.connect("bounded");
     (void)world.ask(client, harness::read());
     world.servers["r"].silent = true;
-    world.servers["p"].silent = true;
-    world.answers.clear();
-    world.send(client, harness::read());
+    world.send_to_silent("p", client, harness::read());
     world.pass(1100ms);
     REQUIRE(world.answer_of(client));
     CHECK(statement::promises_no_effect(world.answer_of(client)->error));
--- a/packages/proxy/tests/test_shutdown.cpp
+++ b/packages/proxy/tests/test_shutdown.cpp
@@ -27,9 +27,7 @@
     harness world;
     world.start();
     const session_id client = world.connect("primary");
-    world.servers["p"].silent = true;
-    world.answers.clear();
-    world.send(client, harness::write());
+    world.send_to_silent("p", client, harness::write());
     const auto sent = world.commands(command_kind::forward);
     world.tested().begin_shutdown(world.now);
     world.pass(700ms);
@@ -46,10 +44,7 @@
 TEST_CASE("an open transaction has half of the grace period to end")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
+    const session_id client = world.start_writing_transaction();
     world.tested().begin_shutdown(world.now);
     world.pass(2800ms);
     CHECK_FALSE(world.closed.contains(client));
@@ -62,10 +57,7 @@
 TEST_CASE("the process ends before it is killed")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
+    (void)world.start_writing_transaction();
     world.tested().begin_shutdown(world.now);
     world.pass(5800ms);
     CHECK(world.stopped);
--- a/packages/proxy/tests/test_transactions.cpp
+++ b/packages/proxy/tests/test_transactions.cpp
@@ -42,10 +42,7 @@
 TEST_CASE("a rolled back transaction leaves its connection clean")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
+    const session_id client = world.start_writing_transaction();
     CHECK(world.ask(client, harness::rollback())->ok());
     CHECK(world.commands(command_kind::rollback, "p").size() == 1);
     CHECK(world.servers["p"].writes == 0);
@@ -56,10 +53,7 @@
 TEST_CASE("a client that leaves in a transaction has it rolled back")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
+    const session_id client = world.start_writing_transaction();
     world.close(client);
     CHECK(world.commands(command_kind::rollback, "p").size() == 1);
     CHECK(world.servers["p"].writes == 0);
@@ -88,10 +82,7 @@
 TEST_CASE("a failed transaction accepts only its end")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
+    const session_id client = world.start_writing_transaction();
     world.reset("p");
     const auto failed = world.ask(client, harness::write());
     CHECK(failed->error == error_class::aborted);
@@ -103,10 +94,7 @@
 TEST_CASE("a commit of a failed transaction is no success")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
+    const session_id client = world.start_writing_transaction();
     world.reset("p");
     const auto answer = world.ask(client, harness::commit());
     CHECK(answer->error == error_class::aborted);
@@ -117,10 +105,7 @@
 TEST_CASE("a transaction that rests too long is rolled back and fails")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
+    const session_id client = world.start_writing_transaction();
     world.pass(3200ms);
     CHECK(world.commands(command_kind::rollback, "p").size() == 1);
     CHECK(world.ask(client, harness::commit())->error == error_class::aborted);
@@ -130,10 +115,7 @@
 TEST_CASE("a connection whose commit was refused is not used again")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
+    const session_id client = world.start_writing_transaction();
     world.script = [](const received& taken) -> std::optional<statement::answer> {
         if (taken.command.text != "COMMIT") {
             return std::nullopt;
@@ -151,10 +133,7 @@
 TEST_CASE("no capacity inside a transaction is waited for on the same connection")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
+    const session_id client = world.start_writing_transaction();
     bool full = true;
     world.script = [&full](const received& taken) -> std::optional<statement::answer> {
         if (!full || taken.command.kind != command_kind::forward) {
@@ -176,15 +155,10 @@
 TEST_CASE("a statement of a transaction never moves to another connection")
 {
     harness world;
-    world.start();
-    const session_id client = world.connect("primary");
-    (void)world.ask(client, harness::begin());
-    (void)world.ask(client, harness::write());
+    const session_id client = world.start_writing_transaction();
     (void)world.ask(client, harness::set("zone", "cet"));
     // The connection is lost while the value is replayed, before the statement is sent.
-    world.servers["p"].silent = true;
-    world.answers.clear();
-    world.send(client, harness::write());
+    world.send_to_silent("p", client, harness::write());
     REQUIRE(world.commands(command_kind::set, "p").size() == 1);
     world.servers["p"].silent = false;
     world.reset("p");
