Leave odd entries of other writers out, with a log line

Cause: rows were read without bounds. A nested row was copied level by level (32,000 levels fit into one row); "slots", "priority" and "max-connections" were cut to 32 bits and multiplied; times in ms overflowed as microseconds; an address that is no IPv4 address went to the resolver; a row's key or service with a line end went into the line that starts a session at a server; a claim that could not be read blocked the promotions of its group for good.

After an unreadable claim the next token is higher than its row's version, which no token exceeds.

Also: the soak wrote a daemon's settings without closing the file before it started the daemon (KNOWN-RED). It now writes the file whole and renames it.

Ruled out: ports out of range and unreadable bytes were refused before.

--- a/packages/homes/include/gypsumstep/homes/home_table.h
+++ b/packages/homes/include/gypsumstep/homes/home_table.h
@@ -22,6 +22,9 @@
 /// daemon gets in the smaller deployments.
 inline constexpr std::uint32_t default_capacity = 250;
 
+/// Largest capacity that a daemon announces: a thousand cores, more than any VM has.
+inline constexpr std::uint32_t max_capacity = 1'000'000;
+
 /// The announcement of a daemon.
 struct daemon_entry {
     std::string name;
--- a/packages/promotion/include/gypsumstep/promotion/claim.h
+++ b/packages/promotion/include/gypsumstep/promotion/claim.h
@@ -39,6 +39,7 @@
 struct shared_state {
     std::optional<claim> current_claim;
     std::uint64_t claim_version{0}; ///< version of the claim's row; 0 if there is none
+    std::uint64_t min_token{0};     ///< no claim that could not be read had a higher token
     std::vector<suspicion> suspicions;
     std::size_t daemons{0}; ///< number of daemons that connect to the group's servers; 0 if unknown
     store_time now{0};
--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -153,7 +153,8 @@
         return;
     }
     m_claim.holder = m_daemon;
-    m_claim.token = (m_shared->current_claim ? m_shared->current_claim->token : 0) + 1;
+    const std::uint64_t newest_token = m_shared->current_claim ? m_shared->current_claim->token : 0;
+    m_claim.token = std::max(newest_token, m_shared->min_token) + 1;
     m_claim.target = *target;
     m_claim.claimed_at = m_shared->now;
     m_step = step::claiming;
--- a/testing/soak/daemon_set.cpp
+++ b/testing/soak/daemon_set.cpp
@@ -4,12 +4,14 @@
 
 #include <QCoreApplication>
 #include <QDir>
-#include <QFile>
 #include <QHostAddress>
+#include <QSaveFile>
 #include <QTcpServer>
 #include <QTimer>
 
 #include <csignal>
+#include <cstdlib>
+#include <iostream>
 #include <utility>
 
 #include <sys/prctl.h>
@@ -53,6 +55,21 @@
     return first;
 }
 
+/// Writes a file that appears under its name only once it is complete, since a daemon may read
+/// it at any time.
+void write_file(const std::string& path, const std::string& content)
+{
+    QSaveFile file{QString::fromStdString(path)};
+    const bool written = file.open(QIODevice::WriteOnly) &&
+                         file.write(content.data(), static_cast<qint64>(content.size())) ==
+                             static_cast<qint64>(content.size()) &&
+                         file.commit();
+    if (!written) {
+        std::cerr << "cannot write " << path << ": " << file.errorString().toStdString() << '\n';
+        std::exit(EXIT_FAILURE);
+    }
+}
+
 } // namespace
 
 daemon_set::daemon_set(std::string program, std::size_t count, std::uint16_t first_port,
@@ -65,11 +82,8 @@
         created->settings_file =
             m_directory.filePath(QString::fromStdString(created->name)).toStdString();
         const auto port = client_port(index);
-        QFile file{QString::fromStdString(created->settings_file)};
-        if (file.open(QIODevice::WriteOnly)) {
-            file.write(
-                adapter::standins::settings_text(created->name, index, port, store_port).c_str());
-        }
+        write_file(created->settings_file,
+                   adapter::standins::settings_text(created->name, index, port, store_port));
         daemon* const target = created.get();
         connect(&target->process, &QProcess::finished, this,
                 [this, target](int code, QProcess::ExitStatus status) {
--- a/testing/soak/soak_run.cpp
+++ b/testing/soak/soak_run.cpp
@@ -82,6 +82,7 @@
     m_store_link = std::make_unique<fault_proxy>(m_store.listen());
     const std::uint16_t store_port = m_store_link->listen();
     write_configuration();
+    write_odd_entries();
     connect(&m_registration_timer, &QTimer::timeout, this, [this] { write_registrations(); });
     m_registration_timer.start(heartbeat);
     write_registrations();
@@ -109,6 +110,17 @@
                            statement_timeout_ms + static_cast<std::uint32_t>(m_random.below(200))));
 }
 
+void soak_run::write_odd_entries()
+{
+    using namespace adapter::standins;
+    for (const auto& [key, value] : odd_server_rows()) {
+        m_store.put(server_table, key, value);
+    }
+    for (const auto& [key, value] : odd_daemon_rows()) {
+        m_store.put(daemon_table, key, value);
+    }
+}
+
 void soak_run::write_registrations()
 {
     if (m_store.trouble() != store_trouble::none) {
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -49,6 +49,8 @@
 
 private:
     void write_configuration();
+    /// Writes rows to the servers' and the daemons' tables that name nothing to use.
+    void write_odd_entries();
     void write_registrations();
     void inject_random_fault();
     void inject_store_fault();
