Hand the lead over before a promotion where the platform does not stop the old primary

Change: - A daemon that has never known a primary of the group needs a quorum of the same opinion, or waits 5 s, until no other daemon uses an unlisted one. - Where bounds.enforce-fencing is false (options::old_primary_stops), the claimant first claims that no server may lead, and orders nothing before the others confirmed over their own ports that they follow the claim, or the old primary itself was demoted by any daemon that reaches it, or the permits of silent daemons have run out (2.3 s). promotion/claim_exchange decides; a daemon uses primaries only while the store or another daemon answered within 2 s. Commits up to the old primary's DEMOTE are waited for at a replica; an acknowledgement that comes from a server that may no longer lead is passed on as unknown. - An order is given only inside the claim's lease there; the target of an earlier, perhaps late order is kept. - edge/peer_link: datagrams between daemons, CBOR, malformed ones are passed over with a log line.

Ruled out: waiting for the store alone (writes would end when it is away); a majority of daemons (their list keeps lost ones for 90 s).

Also: a commit that was not sent yet is aborted, not unknown, when its server connection is lost.

Two checks changed: tests whose daemon never knew a primary now say that it did.

--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -56,6 +56,7 @@
     options.regions = settings.regions;
     options.seed = seed_of(settings);
     options.shutdown_grace = settings.shutdown_grace;
+    options.old_primary_stops = settings.old_primary_stops;
     return options;
 }
 
@@ -70,7 +71,11 @@
                            line_logger& log_output)
     : m_settings{std::move(settings)}, m_settings_file{std::move(settings_file)},
       m_log_output{log_output}, m_metrics{m_registry}, m_proxy{proxy_options(m_settings)},
-      m_roster{m_settings, m_clock, seed_of(m_settings), [this] { update_served_groups(); }},
+      m_peer_link{[this](const promotion::peer_message& message) {
+          m_proxy.on_peer_message(message, boot_now());
+          run_actions();
+      }},
+      m_roster{m_settings, m_clock, seed_of(m_settings), [this] { on_daemons_changed(); }},
       m_client_listener{client_listener_events(), session_id{1}},
       m_forwarding_listener{forwarding_listener_events(), first_forwarded_session},
       m_forwarder{m_client_listener, m_roster.homes(), seed_of(m_settings)},
@@ -190,6 +195,12 @@
                     {{"port", static_cast<std::uint64_t>(m_settings.forwarding_port)}});
         return false;
     }
+    if (!m_settings.old_primary_stops &&
+        !m_peer_link.listen(m_settings.clients.host, m_settings.forwarding_port)) {
+        log().error("cannot receive messages of other daemons",
+                    {{"port", static_cast<std::uint64_t>(m_settings.forwarding_port)}});
+        return false;
+    }
     log().info("started", {{"daemon", m_settings.name},
                            {"domain", m_settings.domain},
                            {"store", m_settings.store.host}});
@@ -254,6 +265,11 @@
     m_promotion_executor.run(action);
 }
 
+void edge_process::run(proxy::send_peer_message& action)
+{
+    m_peer_link.send(action.daemon, action.content);
+}
+
 void edge_process::run(proxy::refresh_servers& /*action*/)
 {
     m_store_follower.refresh_servers();
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -7,6 +7,7 @@
 #include "edge_metrics.h"
 #include "http_server.h"
 #include "line_logger.h"
+#include "peer_link.h"
 #include "promotion_executor.h"
 #include "server_connections.h"
 #include "session_forwarder.h"
@@ -55,6 +56,7 @@
     void run(proxy::send_command& action);
     void run(proxy::close_server_connection& action);
     void run(proxy::promotion_step& action);
+    void run(proxy::send_peer_message& action);
     void run(proxy::refresh_servers& action);
     void run(proxy::decision& action);
     void run(proxy::statement_finished& action);
@@ -77,6 +79,8 @@
     [[nodiscard]] proxy::group_share share_of(const std::string& service,
                                               std::uint32_t max_connections) const;
     void update_served_groups();
+    /// Passes the list of daemons on to whoever talks to them.
+    void on_daemons_changed();
     void on_tick();
     void on_signal(int number);
     void reload();
@@ -90,6 +94,7 @@
     edge_metrics m_metrics;
     proxy::proxy m_proxy;
     store_clock m_clock;
+    peer_link m_peer_link;
     daemon_roster m_roster;
     client_listener m_client_listener;
     client_listener m_forwarding_listener; ///< accepts sessions that other daemons forward
--- a/packages/edge/src/edge_sessions.cpp
+++ b/packages/edge/src/edge_sessions.cpp
@@ -144,6 +144,20 @@
     }
 }
 
+void edge_process::on_daemons_changed()
+{
+    const std::vector<homes::daemon_entry>& daemons = m_roster.homes().daemons();
+    std::vector<promotion::peer> peers;
+    for (const homes::daemon_entry& daemon : daemons) {
+        if (daemon.name != m_settings.name) {
+            peers.push_back({daemon.name, daemon.domain == m_settings.domain});
+        }
+    }
+    m_peer_link.set_daemons(daemons);
+    m_proxy.set_peers(std::move(peers));
+    update_served_groups();
+}
+
 void edge_process::update_served_groups()
 {
     // Until the other daemons are known, each daemon would consider itself a home.
--- /dev/null
+++ b/packages/edge/src/peer_codec.cpp
@@ -0,0 +1,179 @@
+#include "peer_codec.h"
+
+#include <QCborArray>
+#include <QCborValue>
+
+#include <limits>
+#include <optional>
+
+namespace gypsumstep::edge {
+namespace {
+
+/// First element of each message; changes with its layout.
+constexpr qint64 format_version = 1;
+
+QCborValue to_cbor(const std::string& text)
+{
+    return QString::fromStdString(text);
+}
+
+QCborValue to_cbor(std::uint64_t number)
+{
+    return static_cast<qint64>(number);
+}
+
+/// Reads the elements of one array in order. Once an element is missing or of another type, the
+/// reader has failed and all further values are empty.
+class array_reader {
+public:
+    explicit array_reader(const QCborValue& value) : m_failed{!value.isArray()}
+    {
+        if (!m_failed) {
+            m_array = value.toArray();
+        }
+    }
+
+    QCborValue next()
+    {
+        if (m_place >= m_array.size()) {
+            m_failed = true;
+            return {};
+        }
+        return m_array.at(m_place++);
+    }
+
+    std::string text()
+    {
+        const QCborValue value = next();
+        m_failed = m_failed || !value.isString();
+        return value.toString().toStdString();
+    }
+
+    std::uint64_t number()
+    {
+        const QCborValue value = next();
+        const qint64 number = value.toInteger(-1);
+        m_failed = m_failed || !value.isInteger() || number < 0;
+        return m_failed ? 0 : static_cast<std::uint64_t>(number);
+    }
+
+    bool boolean()
+    {
+        const QCborValue value = next();
+        m_failed = m_failed || !value.isBool();
+        return value.toBool();
+    }
+
+    /// Reads an array and calls \p read(value) for each of its elements.
+    template <class Read>
+    void each(Read&& read)
+    {
+        const QCborValue value = next();
+        m_failed = m_failed || !value.isArray();
+        for (const QCborValue element : value.toArray()) {
+            read(element);
+        }
+    }
+
+    [[nodiscard]] bool at_end() const { return m_place >= m_array.size(); }
+    [[nodiscard]] bool failed() const { return m_failed; }
+    void fail() { m_failed = true; }
+
+private:
+    QCborArray m_array;
+    qsizetype m_place{0};
+    bool m_failed{false};
+};
+
+promotion::claim_notice read_claim(array_reader& fields)
+{
+    promotion::claim_notice notice;
+    notice.service = fields.text();
+    notice.token = fields.number();
+    notice.target = fields.text();
+    return notice;
+}
+
+promotion::release_notice read_release(array_reader& fields)
+{
+    promotion::release_notice notice;
+    notice.service = fields.text();
+    notice.token = fields.number();
+    notice.demoted = fields.text();
+    if (!fields.at_end()) {
+        const term entry_term{fields.number()};
+        notice.position = log_position{entry_term, fields.number()};
+    }
+    return notice;
+}
+
+} // namespace
+
+QByteArray encode_peer_message(const promotion::peer_message& message)
+{
+    QCborArray claims;
+    for (const promotion::claim_notice& notice : message.claims) {
+        claims.append(
+            QCborArray{to_cbor(notice.service), to_cbor(notice.token), to_cbor(notice.target)});
+    }
+    QCborArray releases;
+    for (const promotion::release_notice& notice : message.releases) {
+        QCborArray fields{to_cbor(notice.service), to_cbor(notice.token), to_cbor(notice.demoted)};
+        if (notice.position) {
+            fields.append(to_cbor(notice.position->entry_term.value()));
+            fields.append(to_cbor(notice.position->index));
+        }
+        releases.append(fields);
+    }
+    QCborArray guests;
+    for (const std::string& guest : message.guests) {
+        guests.append(to_cbor(guest));
+    }
+    const QCborArray fields{format_version,
+                            to_cbor(message.sender),
+                            to_cbor(message.number),
+                            message.is_answer,
+                            claims,
+                            releases,
+                            guests};
+    return QCborValue{fields}.toCbor();
+}
+
+result<promotion::peer_message> decode_peer_message(const QByteArray& bytes)
+{
+    const error malformed{error_code::invalid_argument, "not a message of a daemon"};
+    QCborParserError problem;
+    const QCborValue document = QCborValue::fromCbor(bytes, &problem);
+    if (problem.error != QCborError{QCborError::NoError} || problem.offset != bytes.size()) {
+        return malformed;
+    }
+    array_reader fields{document};
+    if (fields.number() != static_cast<std::uint64_t>(format_version)) {
+        return malformed;
+    }
+    promotion::peer_message message;
+    message.sender = fields.text();
+    message.number = fields.number();
+    message.is_answer = fields.boolean();
+    bool elements_failed = false;
+    fields.each([&](const QCborValue& element) {
+        array_reader claim{element};
+        message.claims.push_back(read_claim(claim));
+        elements_failed = elements_failed || claim.failed();
+    });
+    fields.each([&](const QCborValue& element) {
+        array_reader notice{element};
+        message.releases.push_back(read_release(notice));
+        elements_failed = elements_failed || notice.failed();
+    });
+    fields.each([&](const QCborValue& element) {
+        elements_failed = elements_failed || !element.isString();
+        message.guests.push_back(element.toString().toStdString());
+    });
+    if (fields.failed() || elements_failed || message.sender.empty()) {
+        return malformed;
+    }
+    return message;
+}
+
+} // namespace gypsumstep::edge
--- a/packages/promotion/include/gypsumstep/promotion/claim.h
+++ b/packages/promotion/include/gypsumstep/promotion/claim.h
@@ -20,8 +20,9 @@
 struct claim {
     std::string holder;     ///< name of the daemon that holds the claim
     std::uint64_t token{0}; ///< fencing token; increases with every new target
-    std::string target;     ///< instance id of the server to promote
+    std::string target;     ///< instance id of the server to promote; empty while none may lead
     store_time claimed_at{0};
+    std::string former; ///< server that led before the promotion; empty if the holder knows none
 
     friend bool operator==(const claim&, const claim&) = default;
 };
--- a/packages/promotion/include/gypsumstep/promotion/coordinator.h
+++ b/packages/promotion/include/gypsumstep/promotion/coordinator.h
@@ -5,6 +5,7 @@
 #include "gypsumstep/base/random.h"
 #include "gypsumstep/base/time.h"
 #include "gypsumstep/promotion/claim.h"
+#include "gypsumstep/promotion/claim_exchange.h"
 #include "gypsumstep/statement/server_command.h"
 
 #include <cstdint>
@@ -21,8 +22,11 @@
     std::optional<std::string> primary; ///< instance id; empty if the group has none
     bool primary_draining{false};       ///< the primary announced its shutdown
     duration primary_failing_for{0};    ///< how long the primary has not answered this daemon
+    bool saw_primary{false};            ///< this daemon has known a primary of the group
+    duration leaderless_for{0};         ///< how long this daemon has known no primary
     std::vector<std::string> replicas;  ///< instance ids of the ready replicas
     std::uint32_t sync_replicas{0}; ///< replicas that must hold a commit before it is acknowledged
+    bool old_primary_stops{true};   ///< the platform stops the old primary when it promotes another
 
     friend bool operator==(const group_state&, const group_state&) = default;
 };
@@ -42,8 +46,9 @@
 /// Requests the log positions of the replicas.
 struct survey_replicas {
     std::vector<std::string> servers;
-    bool pause{false};                 ///< also stops the replicas from receiving log entries
-    std::optional<std::string> demote; ///< primary that must stop taking writes first
+    bool pause{false};                    ///< also stops the replicas from receiving log entries
+    std::optional<std::string> demote;    ///< primary that must stop taking writes first
+    std::optional<log_position> required; ///< position that a replica should have received
 
     friend bool operator==(const survey_replicas&, const survey_replicas&) = default;
 };
@@ -56,6 +61,14 @@
     friend bool operator==(const write_claim&, const write_claim&) = default;
 };
 
+/// Waits until no daemon uses the former primary any more.
+struct hand_over_lead {
+    claim_notice claim;
+    std::string former; ///< instance id of the former primary; empty if it is not known
+
+    friend bool operator==(const hand_over_lead&, const hand_over_lead&) = default;
+};
+
 /// Orders the platform to promote a server to primary.
 struct order_promotion {
     std::string target;
@@ -65,7 +78,7 @@
 };
 
 using action = std::variant<read_shared_state, report_suspicion, survey_replicas, write_claim,
-                            order_promotion>;
+                            hand_over_lead, order_promotion>;
 
 /// Result of a call to the store, a server or the platform.
 enum class call_outcome : std::uint8_t {
@@ -86,6 +99,10 @@
 /// time to order promotions. Another daemon may take over a claim only once claim_lease has
 /// passed. Every new target gets a token that is higher than all earlier ones, so that the
 /// platform refuses a delayed order of a former holder.
+///
+/// Where the platform does not stop the old primary, the coordinator first claims that no server
+/// may lead, has the lead handed over (see claim_exchange), and only then chooses the target and
+/// claims it.
 class coordinator {
 public:
     /// Time for which another daemon's claim is respected.
@@ -103,7 +120,16 @@
     /// Suspicions that are this old or older do not count.
     static constexpr store_time suspicion_lifetime{4000};
 
-    coordinator(std::string daemon, std::uint64_t seed);
+    /// A daemon that has never known a primary of the group may promote without a quorum only
+    /// after this time, since a primary that is cut off from the store is unlisted, but the other
+    /// daemons still use it. They stop within the grace period of the directory.
+    static constexpr duration unlisted_delay = 5s;
+
+    /// Where the platform does not refuse old tokens, an order is sent only while the claim will be
+    /// respected for at least this long.
+    static constexpr duration order_margin = 1s;
+
+    coordinator(std::string service, std::string daemon, std::uint64_t seed);
 
     /// Updates the state of the group and starts, retries or ends a promotion. Must be called
     /// often, as it also checks the timeouts.
@@ -113,6 +139,7 @@
     void on_suspicion_written(call_outcome outcome, time_point now);
     void on_survey(const std::vector<survey_answer>& answers, time_point now);
     void on_claim_written(call_outcome outcome, time_point now);
+    void on_handed_over(const hand_over_result& result, time_point now);
     void on_order(call_outcome outcome, time_point now);
 
     /// Returns the actions to carry out, in order, and clears them.
@@ -128,9 +155,12 @@
     enum class step : std::uint8_t {
         idle,
         waiting,
-        reading,
-        surveying,
-        claiming,
+        reading,       ///< reads the shared state
+        claiming_lead, ///< writes the claim that no server may lead
+        handing_over,  ///< waits until no daemon uses the former primary
+        reading_claim, ///< reads the version of the claim that it wrote
+        surveying,     ///< asks the replicas for their positions
+        claiming,      ///< writes the claim on the target
         ordering,
         ordered
     };
@@ -139,7 +169,15 @@
     [[nodiscard]] bool needs_quorum() const;
     [[nodiscard]] bool has_quorum(const shared_state& state) const;
     [[nodiscard]] std::optional<std::string> best_replica() const;
+    [[nodiscard]] std::string former_primary() const;
+    [[nodiscard]] std::vector<std::string> candidates() const;
     void begin_attempt(time_point now);
+    void read_state(step next, time_point now);
+    void survey(time_point now);
+    void claim_lead(time_point now);
+    void write(claim next, step following, time_point now);
+    void send_order(time_point now);
+    [[nodiscard]] bool holds_claim(const shared_state& state) const;
     void retry_after(duration backoff, time_point now);
     void finish();
     void claim_if_target_found(time_point now);
@@ -149,6 +187,7 @@
         m_actions.emplace_back(std::in_place_type<T>, std::move(next));
     }
 
+    std::string m_service;
     std::string m_daemon;
     random_source m_random;
     group_state m_group;
@@ -156,11 +195,14 @@
     std::string m_reason;
     time_point m_step_deadline{}; ///< when the current step starts, times out or is repeated
     std::optional<shared_state> m_shared;
+    time_point m_read_at{};                 ///< when m_shared was asked for
+    std::optional<log_position> m_required; ///< position of the former primary
     std::vector<survey_answer> m_answers;
-    bool m_surveyed{false};
+    bool m_no_target_found{false}; ///< in the last survey
     claim m_claim;
     std::uint32_t m_orders_sent{0};               ///< orders sent under the current claim
     std::optional<std::string> m_rejected_target; ///< the target that the platform refused
+    std::string m_excluded; ///< former primary that is a target only if there is no other
     std::vector<action> m_actions;
 };
 
--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -23,8 +23,8 @@
 
 } // namespace
 
-coordinator::coordinator(std::string daemon, std::uint64_t seed)
-    : m_daemon{std::move(daemon)}, m_random{seed}
+coordinator::coordinator(std::string service, std::string daemon, std::uint64_t seed)
+    : m_service{std::move(service)}, m_daemon{std::move(daemon)}, m_random{seed}
 {
 }
 
@@ -39,7 +39,9 @@
             return;
         }
     }
-    m_reason = reason;
+    if (m_step == step::idle || m_step == step::waiting) {
+        m_reason = reason;
+    }
     if (m_step == step::idle) {
         m_step = step::waiting;
         m_step_deadline = now + m_random.between(duration{0}, first_call_jitter);
@@ -74,15 +76,18 @@
 
 bool coordinator::needs_quorum() const
 {
-    return m_group.primary && !m_group.primary_draining;
+    if (m_group.primary) {
+        return !m_group.primary_draining;
+    }
+    return !m_group.saw_primary && m_group.leaderless_for < unlisted_delay;
 }
 
 bool coordinator::has_quorum(const shared_state& state) const
 {
+    const std::string primary = m_group.primary.value_or("");
     const auto suspecting = std::count_if(
         state.suspicions.begin(), state.suspicions.end(), [&](const suspicion& report) {
-            return report.primary == m_group.primary &&
-                   state.now - report.reported_at < suspicion_lifetime;
+            return report.primary == primary && state.now - report.reported_at < suspicion_lifetime;
         });
     const std::size_t needed = std::max(min_suspicion_quorum, (state.daemons + 1) / 2);
     return static_cast<std::size_t>(suspecting) >= needed;
@@ -90,13 +95,19 @@
 
 void coordinator::begin_attempt(time_point now)
 {
-    m_step = step::reading;
-    m_step_deadline = now + step_timeout;
     m_shared.reset();
-    m_surveyed = false;
+    m_required.reset();
     if (needs_quorum()) {
-        add_action(report_suspicion{*m_group.primary});
+        add_action(report_suspicion{m_group.primary.value_or("")});
     }
+    read_state(step::reading, now);
+}
+
+void coordinator::read_state(step next, time_point now)
+{
+    m_step = next;
+    m_step_deadline = now + step_timeout;
+    m_read_at = now;
     add_action(read_shared_state{});
 }
 
@@ -109,7 +120,7 @@
 
 void coordinator::on_shared_state(const std::optional<shared_state>& state, time_point now)
 {
-    if (m_step != step::reading) {
+    if (m_step != step::reading && m_step != step::reading_claim) {
         return;
     }
     if (!state) {
@@ -117,6 +128,15 @@
         return;
     }
     m_shared = state;
+    if (m_step == step::reading_claim) {
+        if (holds_claim(*state)) {
+            survey(now);
+        }
+        else {
+            retry_after(retry_backoff, now);
+        }
+        return;
+    }
     if (state->current_claim && state->current_claim->holder != m_daemon &&
         state->now - state->current_claim->claimed_at < claim_lease) {
         retry_after(retry_backoff, now);
@@ -126,12 +146,83 @@
         retry_after(retry_backoff, now);
         return;
     }
+    if (m_group.old_primary_stops) {
+        survey(now);
+    }
+    else {
+        claim_lead(now);
+    }
+}
+
+bool coordinator::holds_claim(const shared_state& state) const
+{
+    return state.current_claim && state.current_claim->holder == m_claim.holder &&
+           state.current_claim->token == m_claim.token;
+}
+
+void coordinator::claim_lead(time_point now)
+{
+    claim next;
+    next.former = former_primary();
+    if (m_group.primary == next.former) {
+        // It may be cut off from the daemons that wanted the promotion.
+        m_excluded = next.former;
+    }
+    write(std::move(next), step::claiming_lead, now);
+}
+
+std::string coordinator::former_primary() const
+{
+    if (!m_shared->current_claim) {
+        return m_group.primary.value_or("");
+    }
+    const claim& last = *m_shared->current_claim;
+    return last.target.empty() ? last.former : last.target;
+}
+
+void coordinator::write(claim next, step following, time_point now)
+{
+    const std::uint64_t newest_token = m_shared->current_claim ? m_shared->current_claim->token : 0;
+    next.holder = m_daemon;
+    next.token = std::max(newest_token, m_shared->min_token) + 1;
+    next.claimed_at = m_shared->now;
+    m_claim = std::move(next);
+    m_step = following;
+    m_step_deadline = now + step_timeout;
+    add_action(write_claim{m_claim, m_shared->claim_version});
+}
+
+void coordinator::on_handed_over(const hand_over_result& result, time_point now)
+{
+    if (m_step != step::handing_over) {
+        return;
+    }
+    m_required = result.position;
+    // The claim's version is needed for the next write, and it may have been taken over.
+    read_state(step::reading_claim, now);
+}
+
+void coordinator::survey(time_point now)
+{
     m_step = step::surveying;
-    survey_replicas survey{m_group.replicas, m_group.sync_replicas > 0, {}};
-    if (m_group.primary && m_group.primary_draining) {
-        survey.demote = m_group.primary;
+    m_step_deadline = now + step_timeout;
+    survey_replicas next;
+    next.servers = candidates();
+    next.pause = m_group.sync_replicas > 0;
+    next.required = m_required;
+    if (m_group.old_primary_stops && m_group.primary && m_group.primary_draining) {
+        next.demote = m_group.primary;
+    }
+    add_action(std::move(next));
+}
+
+std::vector<std::string> coordinator::candidates() const
+{
+    std::vector<std::string> servers = m_group.replicas;
+    if (!m_no_target_found) {
+        std::erase(servers, m_excluded);
     }
-    add_action(std::move(survey));
+    return servers.empty() ? m_group.replicas : servers;
 }
 
 void coordinator::on_survey(const std::vector<survey_answer>& answers, time_point now)
@@ -140,26 +231,22 @@
         return;
     }
     m_answers = answers;
-    m_surveyed = true;
     claim_if_target_found(now);
 }
 
 void coordinator::claim_if_target_found(time_point now)
 {
     const auto target = best_replica();
+    m_no_target_found = !target;
     if (!target) {
         m_rejected_target.reset();
         retry_after(retry_backoff, now);
         return;
     }
-    m_claim.holder = m_daemon;
-    const std::uint64_t newest_token = m_shared->current_claim ? m_shared->current_claim->token : 0;
-    m_claim.token = std::max(newest_token, m_shared->min_token) + 1;
-    m_claim.target = *target;
-    m_claim.claimed_at = m_shared->now;
-    m_step = step::claiming;
-    m_step_deadline = now + step_timeout;
-    add_action(write_claim{m_claim, m_shared->claim_version});
+    claim next;
+    next.target = *target;
+    next.former = m_group.old_primary_stops ? std::string{} : m_claim.former;
+    write(std::move(next), step::claiming, now);
 }
 
 std::optional<std::string> coordinator::best_replica() const
@@ -172,7 +259,15 @@
             continue;
         }
         ++answered;
-        if (answer.server != m_rejected_target && (!best || answer.status->received > furthest)) {
+        if (answer.server == m_rejected_target) {
+            continue;
+        }
+        if (answer.server == m_claim.former && answer.server != m_excluded &&
+            !m_group.old_primary_stops) {
+            // An order to promote it may still be carried out, after any later one.
+            return answer.server;
+        }
+        if (!best || answer.status->received > furthest) {
             best = answer.server;
             furthest = answer.status->received;
         }
@@ -188,15 +283,33 @@
 
 void coordinator::on_claim_written(call_outcome outcome, time_point now)
 {
-    if (m_step != step::claiming) {
+    if (m_step != step::claiming && m_step != step::claiming_lead) {
         return;
     }
     if (outcome != call_outcome::done) {
         retry_after(retry_backoff, now);
         return;
     }
+    if (m_step == step::claiming_lead) {
+        m_step = step::handing_over;
+        m_step_deadline = now + claim_exchange::release_timeout + step_timeout;
+        add_action(hand_over_lead{{m_service, m_claim.token, m_claim.target}, m_claim.former});
+        return;
+    }
+    m_orders_sent = 0;
+    send_order(now);
+}
+
+void coordinator::send_order(time_point now)
+{
+    // This process may have been suspended since it claimed, and another daemon may hold the claim.
+    // A platform that stops the old primary also refuses the old claim's token.
+    if (!m_group.old_primary_stops && now - m_read_at >= claim_lease - order_margin) {
+        retry_after(retry_backoff, now);
+        return;
+    }
+    ++m_orders_sent;
     m_step = step::ordering;
-    m_orders_sent = 1;
     m_step_deadline = now + step_timeout;
     add_action(order_promotion{m_claim.target, m_claim.token});
 }
@@ -221,9 +334,7 @@
             break;
         }
         // Repeating the order is safe: with the same token it takes effect only once.
-        ++m_orders_sent;
-        m_step_deadline = now + step_timeout;
-        add_action(order_promotion{m_claim.target, m_claim.token});
+        send_order(now);
         break;
     }
 }
@@ -244,6 +355,8 @@
     m_step = step::idle;
     m_reason.clear();
     m_rejected_target.reset();
+    m_excluded.clear();
+    m_no_target_found = false;
     m_actions.clear();
 }
 
--- a/packages/promotion/tests/test_coordinator.cpp
+++ b/packages/promotion/tests/test_coordinator.cpp
@@ -27,6 +27,7 @@
 {
     group_state group;
     group.primary = "p";
+    group.saw_primary = true;
     group.replicas = {"r1", "r2"};
     return group;
 }
@@ -43,7 +44,7 @@
 
 /// Drives one coordinator; the test provides the store's answers.
 struct coordinator_driver {
-    coordinator subject{"d1", 7};
+    coordinator subject{"ledger", "d1", 7};
     time_point now{start};
     std::vector<action> actions;
 
@@ -162,7 +163,7 @@
     shared_state state = empty_store();
     state.claim_version = 9;
     state.current_claim =
-        claim{"d2", 4, "r1", state.now - coordinator::claim_lease + store_time{1}};
+        claim{"d2", 4, "r1", state.now - coordinator::claim_lease + store_time{1}, {}};
     daemon.subject.on_shared_state(state, daemon.now);
     daemon.collect();
     CHECK(daemon.actions.empty());
@@ -198,7 +199,7 @@
     daemon.run(group);
     shared_state state = empty_store();
     state.claim_version = 10;
-    state.current_claim = claim{"d1", 1, "r2", state.now};
+    state.current_claim = claim{"d1", 1, "r2", state.now, {}};
     daemon.subject.on_shared_state(state, daemon.now);
     daemon.subject.on_survey(both_answers, daemon.now);
     daemon.collect();
@@ -279,3 +280,174 @@
     daemon.collect();
     CHECK(find_action<survey_replicas>(daemon.actions));
 }
+
+TEST_CASE("a daemon that has known no primary needs a quorum while others may use one")
+{
+    coordinator_driver daemon;
+    group_state group = healthy_group();
+    group.primary.reset();
+    group.saw_primary = false;
+    daemon.run(group);
+    CHECK(find_action<report_suspicion>(daemon.actions) == report_suspicion{""});
+    // The suspicions of the daemons that cannot reach the primary do not count for it.
+    daemon.subject.on_shared_state(store_with_suspicions(4), daemon.now);
+    daemon.collect();
+    CHECK(daemon.actions.empty());
+
+    daemon.run(group);
+    shared_state state = empty_store();
+    state.suspicions = {{"d1", "", state.now}, {"d2", "", state.now}};
+    daemon.subject.on_shared_state(state, daemon.now);
+    daemon.collect();
+    CHECK(find_action<survey_replicas>(daemon.actions));
+}
+
+TEST_CASE("a daemon that has known no primary promotes once none can be in use")
+{
+    coordinator_driver daemon;
+    group_state group = healthy_group();
+    group.primary.reset();
+    group.saw_primary = false;
+    group.leaderless_for = coordinator::unlisted_delay;
+    daemon.run(group);
+    daemon.subject.on_shared_state(empty_store(), daemon.now);
+    daemon.collect();
+    CHECK(find_action<survey_replicas>(daemon.actions));
+}
+
+namespace {
+
+group_state unfenced_group_without_primary()
+{
+    group_state group = healthy_group();
+    group.primary.reset();
+    group.old_primary_stops = false;
+    return group;
+}
+
+/// Provides the answers up to the survey, which follows the hand-over.
+void hand_over(coordinator_driver& daemon, const group_state& group,
+               const std::optional<claim>& earlier = {})
+{
+    daemon.run(group);
+    shared_state state = empty_store();
+    state.current_claim = earlier;
+    daemon.subject.on_shared_state(state, daemon.now);
+    daemon.collect();
+    const auto lead = find_action<write_claim>(daemon.actions);
+    REQUIRE(lead);
+    daemon.subject.on_claim_written(call_outcome::done, daemon.now);
+    daemon.subject.on_handed_over({}, daemon.now);
+    state.current_claim = lead->next;
+    state.claim_version = 5;
+    daemon.subject.on_shared_state(state, daemon.now);
+    daemon.collect();
+    REQUIRE(find_action<survey_replicas>(daemon.actions));
+}
+
+} // namespace
+
+TEST_CASE("where the old primary does not stop, the lead is handed over before a target is chosen")
+{
+    coordinator_driver daemon;
+    group_state group = healthy_group();
+    group.old_primary_stops = false;
+    group.primary_draining = true;
+    daemon.run(group);
+    daemon.subject.on_shared_state(empty_store(), daemon.now);
+    daemon.collect();
+    const auto lead = find_action<write_claim>(daemon.actions);
+    REQUIRE(lead);
+    CHECK(lead->next.target.empty());
+    CHECK(lead->next.former == "p");
+    CHECK_FALSE(find_action<survey_replicas>(daemon.actions));
+
+    daemon.subject.on_claim_written(call_outcome::done, daemon.now);
+    daemon.collect();
+    CHECK(find_action<hand_over_lead>(daemon.actions) == hand_over_lead{{"ledger", 1, ""}, "p"});
+    daemon.subject.on_handed_over({log_position{term{3}, 11}}, daemon.now);
+    daemon.collect();
+    REQUIRE(find_action<read_shared_state>(daemon.actions));
+
+    shared_state state = empty_store();
+    state.current_claim = lead->next;
+    state.claim_version = 5;
+    daemon.subject.on_shared_state(state, daemon.now);
+    daemon.collect();
+    const auto survey = find_action<survey_replicas>(daemon.actions);
+    REQUIRE(survey);
+    CHECK(survey->required == log_position{term{3}, 11});
+    CHECK_FALSE(survey->demote);
+    daemon.subject.on_survey(both_answers, daemon.now);
+    daemon.collect();
+    const auto claim = find_action<write_claim>(daemon.actions);
+    REQUIRE(claim);
+    CHECK(claim->next.target == "r2");
+    CHECK(claim->next.token == 2);
+    CHECK(claim->expected_version == 5);
+    daemon.subject.on_claim_written(call_outcome::done, daemon.now);
+    daemon.collect();
+    CHECK(find_action<order_promotion>(daemon.actions) == order_promotion{"r2", 2});
+}
+
+TEST_CASE("a claim that was taken over during the hand-over is given up")
+{
+    coordinator_driver daemon;
+    daemon.run(unfenced_group_without_primary());
+    daemon.subject.on_shared_state(empty_store(), daemon.now);
+    daemon.subject.on_claim_written(call_outcome::done, daemon.now);
+    daemon.subject.on_handed_over({}, daemon.now);
+    shared_state state = empty_store();
+    state.current_claim = claim{"d2", 2, "", state.now, {}};
+    daemon.collect();
+    daemon.subject.on_shared_state(state, daemon.now);
+    daemon.collect();
+    CHECK(daemon.actions.empty());
+}
+
+TEST_CASE("a claimant that was suspended gives no order under its old claim")
+{
+    coordinator_driver daemon;
+    const group_state group = unfenced_group_without_primary();
+    hand_over(daemon, group);
+    daemon.subject.on_survey(both_answers, daemon.now);
+    daemon.now += coordinator::claim_lease - coordinator::order_margin;
+    daemon.subject.on_claim_written(call_outcome::done, daemon.now);
+    daemon.collect();
+    CHECK_FALSE(find_action<order_promotion>(daemon.actions));
+}
+
+TEST_CASE("an earlier claim's target is kept, since its order may still be carried out")
+{
+    coordinator_driver daemon;
+    const group_state group = unfenced_group_without_primary();
+    const claim earlier{"d2", 4, "r1", store_time{0}, "p"};
+    hand_over(daemon, group, earlier);
+    daemon.subject.on_survey(both_answers, daemon.now);
+    daemon.collect();
+    // r2 has received more.
+    CHECK(find_action<write_claim>(daemon.actions)->next.target == "r1");
+}
+
+TEST_CASE("a former primary that the quorum suspects is a target only without another")
+{
+    coordinator_driver daemon;
+    group_state group = healthy_group();
+    group.old_primary_stops = false;
+    group.primary_failing_for = 2s;
+    group.replicas = {"r1", "p"};
+    daemon.run(group);
+    daemon.subject.on_shared_state(store_with_suspicions(2), daemon.now);
+    daemon.collect();
+    REQUIRE(find_action<write_claim>(daemon.actions));
+    const claim lead = find_action<write_claim>(daemon.actions)->next;
+    CHECK(lead.former == "p");
+    daemon.subject.on_claim_written(call_outcome::done, daemon.now);
+    daemon.subject.on_handed_over({}, daemon.now);
+    shared_state state = empty_store();
+    state.current_claim = lead;
+    daemon.subject.on_shared_state(state, daemon.now);
+    daemon.collect();
+    REQUIRE(find_action<survey_replicas>(daemon.actions));
+    CHECK(find_action<survey_replicas>(daemon.actions)->servers == std::vector<std::string>{"r1"});
+}
--- a/packages/proxy/include/gypsumstep/proxy/actions.h
+++ b/packages/proxy/include/gypsumstep/proxy/actions.h
@@ -6,6 +6,7 @@
 #include "gypsumstep/base/time.h"
 #include "gypsumstep/directory/route_table.h"
 #include "gypsumstep/promotion/coordinator.h"
+#include "gypsumstep/promotion/peer_message.h"
 #include "gypsumstep/statement/outcome.h"
 #include "gypsumstep/statement/server_command.h"
 
@@ -64,6 +65,12 @@
     promotion::action step;
 };
 
+/// Sends a message to another daemon. It may be lost.
+struct send_peer_message {
+    std::string daemon;
+    promotion::peer_message content;
+};
+
 /// Requests that the list of servers is read again soon.
 struct refresh_servers {};
 
@@ -91,8 +98,9 @@
 /// closed or the grace period is nearly over.
 struct shutdown_complete {};
 
-using action = std::variant<send_answer, send_start_answer, close_session, open_server_connection,
-                            send_command, close_server_connection, promotion_step, refresh_servers,
-                            decision, statement_finished, shutdown_complete>;
+using action =
+    std::variant<send_answer, send_start_answer, close_session, open_server_connection,
+                 send_command, close_server_connection, promotion_step, send_peer_message,
+                 refresh_servers, decision, statement_finished, shutdown_complete>;
 
 } // namespace gypsumstep::proxy
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -118,6 +118,7 @@
 /// The proxy's state of a backend server, in addition to its registration.
 struct backend_server {
     server_id id;
+    directory::server_entry entry; ///< the last registration; kept after it is gone
     std::string service;
     dispatch::proximity distance{dispatch::proximity::remote};
     std::set<server_connection_id> connections;
@@ -146,6 +147,14 @@
     time_point next_request_at{};
 };
 
+/// The effort to stop the former primary after another daemon's or this daemon's claim.
+struct lead_release {
+    std::uint64_t token{0};
+    std::optional<server_id> former; ///< asked to take no more writes; empty if none is in use
+    time_point deadline{};           ///< the former primary counts as unreachable then
+    time_point next_request{};
+};
+
 /// A database group: one primary and its replicas.
 struct database_group {
     std::string service;
@@ -155,6 +164,13 @@
     std::optional<server_id> primary;
     std::uint64_t primary_listing{0}; ///< newest listing when the primary was chosen
     term primary_term;
+    bool saw_primary{false};
+    std::optional<server_id> last_primary; ///< the newest primary, even after it was lost
+    std::optional<time_point> leaderless_since;
+    std::optional<lead_release> release;
+    std::optional<std::pair<server_id, log_position>> demoted; ///< former primary and its log's end
+    std::deque<time_point> state_reads; ///< when the pending reads of the shared state were sent
+    time_point next_claim_read{};
     std::uint32_t watermark_requests{0};
     time_point newest_watermark_request{}; ///< when the newest watermark request was sent
     promotion::coordinator promotion;
@@ -164,7 +180,7 @@
     time_point refreshed{};
 
     database_group(std::string name, const std::string& daemon, std::uint64_t seed)
-        : service{std::move(name)}, promotion{daemon, seed}
+        : service{std::move(name)}, promotion{service, daemon, seed}
     {
     }
 };
--- a/packages/proxy/include/gypsumstep/proxy/options.h
+++ b/packages/proxy/include/gypsumstep/proxy/options.h
@@ -29,6 +29,10 @@
     /// Time between the start of a shutdown and the kill of the process.
     duration shutdown_grace{6s};
 
+    /// Whether the platform stops the old primary of a group when it promotes another server, and
+    /// refuses orders with an old token. Otherwise the daemons make sure of both themselves.
+    bool old_primary_stops{true};
+
     /// Maximum number of statements that this daemon runs on a server at the same time. More
     /// would only lengthen the server's own queue, which has no priorities.
     std::uint32_t statements_per_server{3};
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -9,6 +9,7 @@
 #include "gypsumstep/base/random.h"
 #include "gypsumstep/directory/route_table.h"
 #include "gypsumstep/directory/server_directory.h"
+#include "gypsumstep/promotion/claim_exchange.h"
 #include "gypsumstep/proxy/actions.h"
 #include "gypsumstep/proxy/detail/state.h"
 #include "gypsumstep/proxy/options.h"
@@ -80,6 +81,12 @@
     void set_served_groups(std::map<std::string, group_share, std::less<>> services,
                            time_point now);
 
+    // Events from other daemons.
+
+    /// Replaces the list of the other daemons.
+    void set_peers(std::vector<promotion::peer> peers);
+    void on_peer_message(const promotion::peer_message& message, time_point now);
+
     // Results of promotion steps.
     void on_shared_state(const std::string& service,
                          const std::optional<promotion::shared_state>& state, time_point now);
@@ -193,6 +200,7 @@
                              time_point now);
     void on_success(server_connection& connection, const task_ptr& work, statement::answer content,
                     time_point now);
+    void on_commit_in_doubt(server_connection& connection, const task_ptr& work, time_point now);
     bool retry_not_run(server_connection& connection, const task_ptr& work,
                        const statement::answer& content, time_point now);
     bool retry_in_transaction(server_connection& connection, const task_ptr& work,
@@ -207,6 +215,7 @@
     database_group& group_of(const std::string& service);
     database_group* find_group(const std::string& service);
     void choose_primary(database_group& group, time_point now);
+    void set_primary(database_group& group, std::optional<server_id> chosen);
     void add_server(const directory::server_record& record);
     void remove_server(server_id id, time_point now);
     [[nodiscard]] dispatch::proximity proximity_of(const std::string& domain) const;
@@ -221,6 +230,30 @@
     void finish_survey(database_group& group, time_point now);
     void resume_replicas(database_group& group, time_point now);
 
+    // Change of the primary where the platform does not stop the old one: lead.cpp.
+    [[nodiscard]] bool may_lead(const backend_server& server) const;
+    [[nodiscard]] bool is_lead_usable(const database_group& group, time_point now) const;
+    void apply_claims(time_point now);
+    void stop_using_former_primary(database_group& group, const promotion::claim_notice& claim,
+                                   time_point now);
+    void abort_work_on(backend_server& server, time_point now);
+    void continue_release(database_group& group, time_point now);
+    void finish_release(database_group& group, const std::string& demoted,
+                        const std::optional<log_position>& position);
+    bool request_demotion(database_group& group, backend_server& server, time_point now);
+    void on_demotion_answered(database_group& group, const backend_server& server,
+                              const statement::server_status& status, time_point now);
+    [[nodiscard]] bool is_former_primary(const backend_server& server) const;
+    [[nodiscard]] bool is_being_released(const backend_server& server) const;
+    [[nodiscard]] bool is_kept(const database_group& group, server_id server,
+                               const statement::answer& content) const;
+    void read_claims(time_point now);
+    void on_claims_read(database_group& group, const promotion::shared_state& state,
+                        time_point asked_at, time_point now);
+    void run_exchange(time_point now);
+    void finish_hand_overs(time_point now);
+    void send_peer_messages(time_point now);
+
     // Periodic work: timers.cpp.
     void check_connections(time_point now);
     void check_queue(database_group& group, time_point now);
@@ -259,6 +292,7 @@
     std::uint64_t m_next_connection{1};
     std::uint64_t m_finished_statements{0};
     double m_hedge_credit{0.0};
+    std::optional<promotion::claim_exchange> m_exchange; ///< empty if the old primary stops
     std::optional<time_point> m_last_tick;
     std::optional<time_point> m_shutdown_at;
     bool m_shutdown_reported{false};
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -82,7 +82,7 @@
 bool proxy::try_start_on_primary(database_group& group, const task_ptr& work, time_point now)
 {
     backend_server* const primary = group.primary ? find_server(*group.primary) : nullptr;
-    if (primary == nullptr || !is_usable(*primary, now)) {
+    if (primary == nullptr || !is_usable(*primary, now) || !is_lead_usable(group, now)) {
         return false;
     }
     const bool takes_slot = work->kind == detail::task_kind::statement;
@@ -227,7 +227,7 @@
         return;
     }
     const directory::server_record* const record = m_directory.find(server.id);
-    if (record == nullptr) {
+    if (record == nullptr && !is_being_released(server)) {
         return;
     }
     const server_connection_id id{m_next_connection++};
@@ -239,7 +239,7 @@
     m_connections.emplace(id, std::move(opened));
     server.connections.insert(id);
     ++server.opening_connections;
-    const directory::server_entry& entry = record->entry;
+    const directory::server_entry& entry = record == nullptr ? server.entry : record->entry;
     emit(open_server_connection{id, entry.host, entry.port, entry.service, entry.name});
 }
 
@@ -252,7 +252,7 @@
         return;
     }
     backend_server* const primary = find_server(*group.primary);
-    if (primary == nullptr || !is_usable(*primary, now)) {
+    if (primary == nullptr || !is_usable(*primary, now) || !is_lead_usable(group, now)) {
         return;
     }
     server_connection* const connection = find_idle_connection(*primary, nullptr);
--- a/packages/proxy/src/groups.cpp
+++ b/packages/proxy/src/groups.cpp
@@ -124,6 +124,7 @@
 {
     auto added = std::make_unique<backend_server>();
     added->id = record.id;
+    added->entry = record.entry;
     added->service = record.entry.service;
     added->distance = proximity_of(record.entry.domain);
     // The limit starts low and is raised over time: after a restart of all daemons, the servers
@@ -148,7 +149,7 @@
             close_connection(connection_id, "the server is gone", now);
         }
     }
-    if (server.connections.empty()) {
+    if (server.connections.empty() && !is_former_primary(server)) {
         m_servers.erase(id);
     }
 }
@@ -159,7 +160,7 @@
     for (const directory::server_record* record : m_directory.servers_of(group.service)) {
         const backend_server* const server = find_server(record->id);
         if (record->entry.role != directory::server_role::primary || server == nullptr ||
-            now < server->not_primary_until) {
+            now < server->not_primary_until || !may_lead(*server)) {
             continue;
         }
         if (best == nullptr || record->role_listing_number > best->role_listing_number ||
@@ -173,7 +174,7 @@
         const backend_server* const server = find_server(*group.primary);
         const directory::server_record* const record = m_directory.find(*group.primary);
         const bool still_valid = server != nullptr && record != nullptr &&
-                                 now >= server->not_primary_until &&
+                                 now >= server->not_primary_until && may_lead(*server) &&
                                  (record->entry.role == directory::server_role::primary ||
                                   record->role_listing_number <= group.primary_listing);
         if (still_valid &&
@@ -191,8 +192,20 @@
                  {{"service", group.service},
                   {"server", chosen ? name_of(*chosen) : ""},
                   {"before", group.primary ? name_of(*group.primary) : ""}});
+    set_primary(group, chosen);
+}
+
+void proxy::set_primary(database_group& group, std::optional<server_id> chosen)
+{
     group.primary = chosen;
     group.primary_listing = m_directory.listing_number();
+    if (chosen) {
+        group.saw_primary = true;
+        group.last_primary = chosen;
+        if (group.demoted && group.demoted->first == *chosen) {
+            group.demoted.reset();
+        }
+    }
 }
 
 } // namespace gypsumstep::proxy
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -38,6 +38,9 @@
             state.replicas.push_back(record->entry.name);
         }
     }
+    state.saw_primary = group.saw_primary;
+    state.leaderless_for = group.leaderless_since ? now - *group.leaderless_since : duration{0};
+    state.old_primary_stops = m_options.old_primary_stops;
     state.sync_replicas = m_routes.settings_of(group.service).sync_replicas;
     const bool was_in_progress = group.promotion.in_progress();
     group.promotion.update(state, now);
@@ -62,7 +65,20 @@
             start_survey(group, *survey, now);
             continue;
         }
+        if (const auto* hand_over = std::get_if<promotion::hand_over_lead>(&next)) {
+            m_exchange->learn(hand_over->claim);
+            m_exchange->begin_hand_over(group.service, hand_over->former, now);
+            run_exchange(now);
+            continue;
+        }
+        if (std::holds_alternative<promotion::read_shared_state>(next)) {
+            group.state_reads.push_back(now);
+        }
         if (const auto* order = std::get_if<promotion::order_promotion>(&next)) {
+            if (m_exchange) {
+                m_exchange->learn({group.service, order->token, order->target});
+                apply_claims(now);
+            }
             log_decision(importance::notice, "ordering a promotion", "",
                          {{"service", group.service},
                           {"server", order->target},
@@ -78,6 +94,7 @@
 {
     detail::replica_survey survey;
     survey.pause_replicas = request.pause;
+    survey.required_position = request.required;
     survey.deadline = now + survey_timeout;
     survey.next_request_at = now;
     for (const directory::server_record* record : m_directory.servers_of(group.service)) {
@@ -162,7 +179,12 @@
     database_group& group = group_of(server.service);
     group.primary_term = std::max(group.primary_term, status.known_term);
     const std::string name = name_of(server.id);
+    const bool answers_release = m_exchange && connection->command.kind == command_kind::demote;
     release(*connection, now);
+    if (answers_release) {
+        on_demotion_answered(group, server, status, now);
+        return;
+    }
     if (!group.survey) {
         return;
     }
@@ -235,6 +257,13 @@
                             const std::optional<promotion::shared_state>& state, time_point now)
 {
     if (database_group* const group = find_group(service)) {
+        if (!group->state_reads.empty()) {
+            const time_point asked_at = group->state_reads.front();
+            group->state_reads.pop_front();
+            if (state) {
+                on_claims_read(*group, *state, asked_at, now);
+            }
+        }
         group->promotion.on_shared_state(state, now);
         run_promotion_actions(*group, now);
     }
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -5,7 +5,12 @@
 
 namespace gypsumstep::proxy {
 
-proxy::proxy(options chosen) : m_options{std::move(chosen)}, m_random{m_options.seed} {}
+proxy::proxy(options chosen) : m_options{std::move(chosen)}, m_random{m_options.seed}
+{
+    if (!m_options.old_primary_stops) {
+        m_exchange.emplace(m_options.daemon, m_random.below(UINT64_MAX));
+    }
+}
 
 proxy::~proxy() = default;
 
--- a/packages/proxy/src/reporting.cpp
+++ b/packages/proxy/src/reporting.cpp
@@ -10,8 +10,9 @@
 
 std::string proxy::name_of(server_id id) const
 {
-    const directory::server_record* const record = m_directory.find(id);
-    return record == nullptr ? "gone/" + std::to_string(id.value()) : record->entry.name;
+    const auto server = m_servers.find(id);
+    return server == m_servers.end() ? "gone/" + std::to_string(id.value())
+                                     : server->second->entry.name;
 }
 
 } // namespace gypsumstep::proxy
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -53,6 +53,21 @@
         send(connection, std::move(command), m_options.internal_command_timeout, now);
         return;
     }
+    if (m_exchange && work->needs_primary) {
+        if (!may_lead(*find_server(connection.server))) {
+            close_connection(connection.id, "another server is to lead the group", now);
+            return;
+        }
+        if (!is_lead_usable(group_of(work->route.service), now)) {
+            if (now >= work->start_deadline) {
+                close_connection(connection.id, "no permit to use the primary", now);
+                return;
+            }
+            connection.phase = connection_phase::backing_off;
+            work->not_before = now + busy_backoff;
+            return;
+        }
+    }
     client_session* const owner = find_session(work->session);
     const statement::prepared_statement* const prepared =
         work->prepared ? &*work->prepared : nullptr;
@@ -267,9 +282,9 @@
         return;
     }
     group.watermarks.add({*content.position, sent_at}, now);
-    if (content.position->entry_term >= group.primary_term && group.primary != connection.server) {
-        group.primary = connection.server;
-        group.primary_listing = m_directory.listing_number();
+    if (content.position->entry_term >= group.primary_term && group.primary != connection.server &&
+        may_lead(*find_server(connection.server))) {
+        set_primary(group, connection.server);
         log_decision(importance::notice, "a server proved to be the primary", "",
                      {{"service", group.service},
                       {"server", name_of(connection.server)},
@@ -318,8 +333,7 @@
     connection.idle_since = now;
     connection.work.reset();
     connection.transaction_owner.reset();
-    const directory::server_record* const record = m_directory.find(server.id);
-    if (record == nullptr) {
+    if (m_directory.find(server.id) == nullptr && !is_being_released(server)) {
         close_connection(connection.id, "the server is gone", now);
         return;
     }
@@ -398,8 +412,9 @@
                   {"server", name_of(lost_server)},
                   {"cause", cause},
                   {"sent_us_ago", std::to_string((now - work->sent_at).count())}});
-    const bool wrote = owner->open_transaction ? work->is_commit && owner->open_transaction->wrote
-                                               : !work->is_read;
+    const bool wrote =
+        work->sent && (owner->open_transaction ? work->is_commit && owner->open_transaction->wrote
+                                               : !work->is_read);
     if (!owner->open_transaction && work->is_read && !timed_out) {
         work->avoided_servers.insert(lost_server);
         requeue(work, duration{0}, now);
--- a/packages/proxy/src/statement_end.cpp
+++ b/packages/proxy/src/statement_end.cpp
@@ -89,6 +89,10 @@
     const bool in_transaction = owner.open_transaction.has_value();
     const bool committed_write =
         in_transaction ? work->is_commit && owner.open_transaction->wrote : !work->is_read;
+    if (committed_write && !may_lead(server) && !is_kept(group, server.id, content)) {
+        on_commit_in_doubt(connection, work, now);
+        return;
+    }
     if (committed_write) {
         add_watermark(group, connection, content, work->sent_at, now);
         owner.last_commit = content.position;
@@ -129,6 +133,15 @@
     }
 }
 
+void proxy::on_commit_in_doubt(server_connection& connection, const task_ptr& work, time_point now)
+{
+    const server_connection_id id = connection.id;
+    connection.work.reset();
+    refuse(work, error_class::outcome_unknown,
+           "the server was replaced meanwhile; the write may be lost", now);
+    close_connection(id, "another server is to lead the group", now);
+}
+
 bool proxy::retry_not_run(server_connection& connection, const task_ptr& work,
                           const statement::answer& content, time_point now)
 {
--- a/packages/proxy/src/timers.cpp
+++ b/packages/proxy/src/timers.cpp
@@ -40,8 +40,15 @@
     m_last_tick = now;
     check_connections(now);
     check_sessions(now);
+    run_exchange(now);
     for (auto& [name, group] : m_groups) {
         choose_primary(*group, now);
+        if (group->primary) {
+            group->leaderless_since.reset();
+        }
+        else if (!group->leaderless_since) {
+            group->leaderless_since = now;
+        }
         check_queue(*group, now);
         dispatch(*group, now);
         if (is_home_of(name)) {
@@ -56,7 +63,8 @@
             ++server.connection_limit;
             server.connection_limit_raised_at = now;
         }
-        const bool gone = server.connections.empty() && m_directory.find(server.id) == nullptr;
+        const bool gone = server.connections.empty() && m_directory.find(server.id) == nullptr &&
+                          !is_former_primary(server);
         next = gone ? m_servers.erase(next) : std::next(next);
     }
     if (m_shutdown_at) {
--- a/packages/proxy/tests/harness.h
+++ b/packages/proxy/tests/harness.h
@@ -264,6 +264,7 @@
     std::set<session_id> closed;
     std::vector<received_command> log;
     std::vector<promotion_step> promotions;
+    std::vector<send_peer_message> peer_messages;
     std::vector<decision> decisions;
     bool stopped{false};
     time_point now{100s};
@@ -285,6 +286,7 @@
     void carry_out(close_session& next) { closed.insert(next.session); }
     void carry_out(close_server_connection& next) { m_connections.erase(next.connection); }
     void carry_out(promotion_step& next) { promotions.push_back(next); }
+    void carry_out(send_peer_message& next) { peer_messages.push_back(next); }
     void carry_out(refresh_servers& /*next*/) {}
     void carry_out(decision& next) { decisions.push_back(next); }
     void carry_out(statement_finished& /*next*/) {}
--- a/packages/proxy/tests/test_promotion.cpp
+++ b/packages/proxy/tests/test_promotion.cpp
@@ -99,8 +99,10 @@
 {
     harness world;
     world.configure(1, 1);
+    world.list_servers();
     world.servers["p"].primary = false;
     world.servers["p"].reachable = false;
+    world.reset("p");
     world.list_servers();
     world.advance_time(800ms);
     answer_store(world);
