Tick when something is due; keep servers by group and homes by list

Cause: each daemon woke up 50 times a second and walked all sessions, connections, groups and servers, idle or not; the choice of a server walked all servers of the site for each statement; homes were selected anew for each session start.

Change: proxy::tick_interval() says how long the next tick may wait (20 ms while a statement waits, a promotion runs or a primary fails; 100 ms while commands run; else 250 ms); idle transactions are found by their connections; groups and the directory know their servers; home_table selects homes once for a list of daemons. No decision changes.

Ruled out: one timer for each deadline (more timers than ticks under load).

--- a/packages/directory/include/gypsumstep/directory/server_directory.h
+++ b/packages/directory/include/gypsumstep/directory/server_directory.h
@@ -73,7 +73,7 @@
     /// Returns a server, or nullptr if it was removed.
     [[nodiscard]] const server_record* find(server_id id) const;
 
-    /// Returns the servers of a group.
+    /// Returns the servers of a group, in ascending order of their ids.
     [[nodiscard]] std::vector<const server_record*> servers_of(std::string_view service) const;
 
     [[nodiscard]] bool loaded() const { return m_listing_number > 0; }
@@ -86,6 +86,7 @@
     server_record* find_instance(const server_entry& entry);
 
     std::map<server_id, server_record> m_servers;
+    std::map<std::string, std::vector<server_id>, std::less<>> m_by_service; ///< ascending
     std::uint32_t m_next_id{1};
     std::uint64_t m_listing_number{0};
 };
--- a/packages/directory/src/server_directory.cpp
+++ b/packages/directory/src/server_directory.cpp
@@ -14,6 +14,7 @@
         if (known == nullptr) {
             const server_id id{m_next_id++};
             m_servers.emplace(id, server_record{id, entry, m_listing_number, {}});
+            m_by_service[entry.service].push_back(id);
             change.added.push_back(id);
             listed.insert(id);
             continue;
@@ -41,6 +42,7 @@
         }
         else if (now - *record.missing_since >= absence_grace) {
             change.removed.push_back(record.id);
+            std::erase(m_by_service[record.entry.service], record.id);
             next = m_servers.erase(next);
             continue;
         }
@@ -58,21 +60,28 @@
 std::vector<const server_record*> server_directory::servers_of(std::string_view service) const
 {
     std::vector<const server_record*> found;
-    for (const auto& [id, record] : m_servers) {
-        if (record.entry.service == service) {
-            found.push_back(&record);
-        }
+    const auto ids = m_by_service.find(service);
+    if (ids == m_by_service.end()) {
+        return found;
+    }
+    found.reserve(ids->second.size());
+    for (const server_id id : ids->second) {
+        found.push_back(&m_servers.at(id));
     }
     return found;
 }
 
 server_record* server_directory::find_instance(const server_entry& entry)
 {
-    for (auto& [id, record] : m_servers) {
+    const auto ids = m_by_service.find(entry.service);
+    if (ids == m_by_service.end()) {
+        return nullptr;
+    }
+    for (const server_id id : ids->second) {
+        server_record& record = m_servers.at(id);
         const server_entry& known = record.entry;
         if (known.name == entry.name && known.started_unix_ms == entry.started_unix_ms &&
-            known.host == entry.host && known.port == entry.port &&
-            known.service == entry.service) {
+            known.host == entry.host && known.port == entry.port) {
             return &record;
         }
     }
--- a/packages/dispatch/include/gypsumstep/dispatch/wait_queue.h
+++ b/packages/dispatch/include/gypsumstep/dispatch/wait_queue.h
@@ -59,6 +59,7 @@
     [[nodiscard]] std::size_t count_ahead(std::uint32_t priority, bool needs_primary) const;
 
     [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] bool empty() const { return size() == 0; }
 
 private:
     void clear();
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -16,8 +16,8 @@
 namespace gypsumstep::edge {
 namespace {
 
-/// Interval between checks of timeouts: a tenth of the shortest timeout.
-constexpr std::chrono::milliseconds tick_interval{20};
+/// Interval between ticks while sessions wait for their start or the process is to end.
+constexpr duration waiting_tick_interval = 20ms;
 
 /// Lowest id of the sessions that other daemons forward to this one; sessions of this daemon's
 /// own clients have lower ids.
@@ -126,6 +126,7 @@
 {
     // This daemon acts as a home of no group until the other daemons are known.
     m_proxy.set_served_groups({}, boot_now());
+    m_tick_timer.setSingleShot(true);
     connect(&m_tick_timer, &QTimer::timeout, this, [this] { on_tick(); });
 }
 
@@ -176,6 +177,21 @@
         QCoreApplication::quit();
     }
     m_log_output.flush();
+    m_scheduled_interval = duration::max();
+    schedule_tick();
+}
+
+void edge_process::schedule_tick()
+{
+    const bool waiting =
+        m_stop_deadline || !m_pending_client_starts.empty() || !m_pending_forwarded_starts.empty();
+    const duration interval = std::min({waiting ? waiting_tick_interval : duration::max(),
+                                        m_proxy.tick_interval(), m_forwarder.tick_interval()});
+    // An equal or longer interval ends after the scheduled tick.
+    if (interval < m_scheduled_interval) {
+        m_scheduled_interval = interval;
+        m_tick_timer.start(std::chrono::ceil<std::chrono::milliseconds>(interval));
+    }
 }
 
 bool edge_process::start()
@@ -208,7 +224,7 @@
     // is known.
     m_roster.start();
     m_store_follower.start();
-    m_tick_timer.start(tick_interval);
+    schedule_tick();
     return true;
 }
 
@@ -226,6 +242,7 @@
         }
     }
     m_running_actions = false;
+    schedule_tick();
 }
 
 void edge_process::run(proxy::send_answer& action)
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -82,6 +82,8 @@
     /// Passes the list of daemons on to whoever talks to them.
     void on_daemons_changed();
     void on_tick();
+    /// Brings the next tick forward if it is needed sooner than it was scheduled.
+    void schedule_tick();
     void on_signal(int number);
     void reload();
     adapter::http_response readiness_response(const std::string& path);
@@ -106,6 +108,7 @@
     http_server m_metrics_endpoint;
     runtime::signal_watch m_signal_watch;
     QTimer m_tick_timer;
+    duration m_scheduled_interval{duration::max()}; ///< until the tick that the timer waits for
     bool m_last_ready{false};
     bool m_running_actions{false};
     bool m_sessions_ended{false}; ///< during a shutdown: the proxy has closed all its sessions
--- a/packages/edge/src/edge_sessions.cpp
+++ b/packages/edge/src/edge_sessions.cpp
@@ -38,6 +38,7 @@
         // accept connections from all daemons.
         m_pending_client_starts.insert_or_assign(
             id, pending_start{message, boot_now() + client_start_timeout});
+        schedule_tick();
         return;
     }
     start_session(id, message);
@@ -54,6 +55,7 @@
                                      route->service,
                                      max_connections,
                                      route->statement_timeout});
+            schedule_tick();
             return;
         }
     }
@@ -70,6 +72,7 @@
     if (old_configuration || old_server_list) {
         m_pending_forwarded_starts.insert_or_assign(
             id, pending_start{message, boot_now() + forwarded_start_timeout});
+        schedule_tick();
         if (old_configuration) {
             m_store_follower.reload();
         }
--- a/packages/edge/src/session_forwarder.cpp
+++ b/packages/edge/src/session_forwarder.cpp
@@ -20,6 +20,10 @@
 /// own timeout.
 constexpr duration answer_margin = 1s;
 
+/// Intervals between ticks. The usual one is short against the timeouts above.
+constexpr duration usual_tick_interval = 150ms;
+constexpr duration shutdown_tick_interval = 20ms;
+
 /// Short enough that the loss of a home's VM is detected before a statement's usual timeout.
 constexpr keepalive_settings home_keepalive{1, 1, 2, 2500};
 
@@ -228,6 +232,14 @@
     }
 }
 
+duration session_forwarder::tick_interval() const
+{
+    if (m_shutting_down) {
+        return shutdown_tick_interval;
+    }
+    return m_sessions.empty() ? duration::max() : usual_tick_interval;
+}
+
 void session_forwarder::begin_shutdown(time_point now)
 {
     m_shutting_down = true;
--- a/packages/edge/src/session_forwarder.h
+++ b/packages/edge/src/session_forwarder.h
@@ -43,6 +43,9 @@
     /// Ends sessions whose home no longer answers; during a shutdown closes idle sessions.
     void on_tick(time_point now);
 
+    /// Returns the longest time until the next call of on_tick().
+    [[nodiscard]] duration tick_interval() const;
+
     /// Starts to close sessions: each one once it is idle, after a random delay of at most
     /// proxy::session_close_window.
     void begin_shutdown(time_point now);
--- a/packages/homes/include/gypsumstep/homes/home_table.h
+++ b/packages/homes/include/gypsumstep/homes/home_table.h
@@ -87,8 +87,10 @@
 
     /// Returns the homes of a group whose servers accept \p max_connections connections each
     /// (0 for no limit), or all daemons if the servers can serve all of them.
-    [[nodiscard]] std::vector<daemon_entry> homes_of(std::string_view service,
-                                                     std::uint32_t max_connections) const;
+    /// The reference is valid until the daemons change. The homes of each group are selected only
+    /// once for a list of daemons.
+    [[nodiscard]] const std::vector<daemon_entry>& homes_of(std::string_view service,
+                                                            std::uint32_t max_connections) const;
 
     /// Returns how many connections to one server a home of the group may use: its share of the
     /// connections that the server accepts.
@@ -113,12 +115,23 @@
     void mark_reachable(const std::string& daemon);
 
 private:
+    /// The homes of a group, and the connection limit for which they were selected.
+    struct selection {
+        std::uint32_t max_connections{0};
+        std::vector<daemon_entry> homes;
+    };
+
+    [[nodiscard]] std::vector<daemon_entry> select_homes(std::string_view service,
+                                                         std::uint32_t max_connections) const;
     [[nodiscard]] int distance_to(const std::string& domain) const;
 
     std::string m_self;
     std::string m_domain;
     std::map<std::string, std::string, std::less<>> m_regions;
     std::vector<daemon_entry> m_daemons;
+    std::map<std::string, std::vector<std::size_t>, std::less<>>
+        m_by_domain;                                                    ///< places in m_daemons
+    mutable std::map<std::string, selection, std::less<>> m_selections; ///< cache, by group
     std::map<std::string, time_point, std::less<>> m_failed;
 };
 
--- a/packages/homes/src/home_table.cpp
+++ b/packages/homes/src/home_table.cpp
@@ -22,7 +22,7 @@
 }
 
 /// Returns the daemon's score for weighted rendezvous hashing. The chance of the highest score
-/// grows with the square of the capacity, since a slow daemon also answers daemon statement later.
+/// grows with the square of the capacity, since a slow daemon also answers each statement later.
 double score(const daemon_entry& daemon, std::string_view service)
 {
     constexpr double hash_range = 18446744073709551616.0; // 2^64
@@ -51,10 +51,15 @@
         m_daemons.push_back({m_self, m_domain, "", 0, default_capacity});
     }
     std::sort(m_daemons.begin(), m_daemons.end());
+    m_selections.clear();
+    m_by_domain.clear();
+    for (std::size_t place = 0; place < m_daemons.size(); ++place) {
+        m_by_domain[m_daemons[place].domain].push_back(place);
+    }
 }
 
-std::vector<daemon_entry> home_table::homes_of(std::string_view service,
-                                               std::uint32_t max_connections) const
+const std::vector<daemon_entry>& home_table::homes_of(std::string_view service,
+                                                      std::uint32_t max_connections) const
 {
     const bool all_fit =
         max_connections == 0 || (m_daemons.size() <= max_connections / min_connections &&
@@ -62,25 +67,41 @@
     if (all_fit) {
         return m_daemons;
     }
+    auto found = m_selections.find(service);
+    if (found == m_selections.end() || found->second.max_connections != max_connections) {
+        selection made{max_connections, select_homes(service, max_connections)};
+        found = m_selections.insert_or_assign(std::string{service}, std::move(made)).first;
+    }
+    return found->second.homes;
+}
+
+std::vector<daemon_entry> home_table::select_homes(std::string_view service,
+                                                   std::uint32_t max_connections) const
+{
+    using scored = std::pair<double, std::size_t>;
     const std::size_t max_homes = std::max<std::size_t>(1, max_connections / connections_per_home);
-    std::map<std::string, std::vector<daemon_entry>> by_domain;
-    for (const daemon_entry& daemon : m_daemons) {
-        by_domain[daemon.domain].push_back(daemon);
+    const std::size_t per_domain =
+        (target_homes + m_by_domain.size() - 1) / std::max<std::size_t>(m_by_domain.size(), 1);
+    std::vector<std::vector<scored>> best_by_domain;
+    for (const auto& [domain, places] : m_by_domain) {
+        std::vector<scored> members;
+        members.reserve(places.size());
+        for (const std::size_t place : places) {
+            members.emplace_back(score(m_daemons[place], service), place);
+        }
+        const std::size_t count = std::min(per_domain, members.size());
+        std::partial_sort(members.begin(),
+                          std::next(members.begin(), static_cast<std::ptrdiff_t>(count)),
+                          members.end(), std::greater<>{});
+        members.resize(count);
+        best_by_domain.push_back(std::move(members));
     }
     std::vector<daemon_entry> homes;
-    for (auto& [domain, members] : by_domain) {
-        std::sort(members.begin(), members.end(),
-                  [&](const daemon_entry& left, const daemon_entry& right) {
-                      return score(left, service) > score(right, service);
-                  });
-    }
-    const std::size_t per_domain =
-        (target_homes + by_domain.size() - 1) / std::max<std::size_t>(by_domain.size(), 1);
     // Takes the best daemon of every domain, then the second best, up to the connection limit.
-    for (std::size_t place = 0; place < per_domain; ++place) {
-        for (const auto& [domain, members] : by_domain) {
-            if (place < members.size() && homes.size() < max_homes) {
-                homes.push_back(members[place]);
+    for (std::size_t rank = 0; rank < per_domain; ++rank) {
+        for (const std::vector<scored>& members : best_by_domain) {
+            if (rank < members.size() && homes.size() < max_homes) {
+                homes.push_back(m_daemons[members[rank].second]);
             }
         }
     }
@@ -100,7 +121,7 @@
 
 bool home_table::is_home(std::string_view service, std::uint32_t max_connections) const
 {
-    const auto homes = homes_of(service, max_connections);
+    const std::vector<daemon_entry>& homes = homes_of(service, max_connections);
     return std::any_of(homes.begin(), homes.end(),
                        [this](const daemon_entry& daemon) { return daemon.name == m_self; });
 }
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -158,6 +158,7 @@
 /// A database group: one primary and its replicas.
 struct database_group {
     std::string service;
+    std::vector<backend_server*> servers; ///< in ascending order of their ids
     dispatch::wait_queue queue;
     freshness::watermark_history watermarks{duration{0}};
     dispatch::wait_estimate estimate;
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -97,9 +97,13 @@
     void on_promotion_ordered(const std::string& service, promotion::call_outcome outcome,
                               time_point now);
 
-    /// Runs timeouts, retries and promotions. Must be called every few tens of milliseconds.
+    /// Runs timeouts, retries and promotions. Must be called within tick_interval() of the last
+    /// call.
     void on_tick(time_point now);
 
+    /// Returns the longest time until the next call of on_tick(). An event may shorten it.
+    [[nodiscard]] duration tick_interval() const;
+
     /// Starts the shutdown: ready() becomes false, open transactions may end within half of the
     /// grace period, and idle sessions are closed gradually.
     void begin_shutdown(time_point now);
@@ -125,6 +129,9 @@
     using database_group = detail::database_group;
     using error_class = statement::error_class;
 
+    /// How soon on_tick() has work, in ascending order.
+    enum class tick_need : std::uint8_t { idle, running, soon };
+
     // Client sessions: client_side.cpp.
     void handle_statement(client_session& session, const statement::statement& request,
                           time_point now);
@@ -218,6 +225,7 @@
     void set_primary(database_group& group, std::optional<server_id> chosen);
     void add_server(const directory::server_record& record);
     void remove_server(server_id id, time_point now);
+    void erase_server(server_id id);
     [[nodiscard]] dispatch::proximity proximity_of(const std::string& domain) const;
 
     // Promotions: promotions.cpp.
@@ -258,7 +266,11 @@
     void check_connections(time_point now);
     void check_queue(database_group& group, time_point now);
     void hedge_slow_read(server_connection& connection, time_point now);
-    void check_sessions(time_point now);
+    void check_group(database_group& group, time_point now);
+    void check_idle_transaction(server_connection& connection, time_point now);
+    void erase_gone_servers(database_group& group);
+    [[nodiscard]] bool is_failing(const database_group& group, time_point now) const;
+    void request_tick(tick_need need);
     void keep_primary_connected(database_group& group, time_point now);
     void continue_shutdown(time_point now);
 
@@ -268,7 +280,7 @@
     [[nodiscard]] std::string name_of(server_id id) const;
 
     [[nodiscard]] bool is_home_of(const std::string& service) const;
-    [[nodiscard]] bool has_connections(const std::string& service) const;
+    [[nodiscard]] static bool has_connections(const database_group& group);
     [[nodiscard]] group_share share_of(const std::string& service) const;
 
     client_session* find_session(session_id id);
@@ -294,6 +306,7 @@
     double m_hedge_credit{0.0};
     std::optional<promotion::claim_exchange> m_exchange; ///< empty if the old primary stops
     std::optional<time_point> m_last_tick;
+    tick_need m_tick_need{tick_need::soon};
     std::optional<time_point> m_shutdown_at;
     bool m_shutdown_reported{false};
     std::vector<action> m_actions;
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -312,6 +312,7 @@
     }
     enqueue(group, work);
     dispatch(group, now);
+    request_tick(work->queued ? tick_need::soon : tick_need::running);
 }
 
 void proxy::on_client_closed(session_id id, time_point now)
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -36,6 +36,7 @@
         return;
     }
     enqueue(group_of(work->route.service), work);
+    request_tick(tick_need::soon);
 }
 
 void proxy::dispatch(database_group& group, time_point now)
@@ -126,13 +127,13 @@
         return false;
     }
     std::vector<dispatch::candidate> candidates;
-    for (const auto& [id, server] : m_servers) {
-        const directory::server_record* const record = m_directory.find(id);
-        if (server->service != group.service || record == nullptr || !is_usable(*server, now) ||
-            work->avoided_servers.contains(id)) {
+    for (const backend_server* const server : group.servers) {
+        const directory::server_record* const record = m_directory.find(server->id);
+        if (record == nullptr || !is_usable(*server, now) ||
+            work->avoided_servers.contains(server->id)) {
             continue;
         }
-        if (record->entry.draining && group.primary != id) {
+        if (record->entry.draining && group.primary != server->id) {
             continue;
         }
         const auto candidate = make_candidate(group, *server, *work, now);
@@ -166,11 +167,11 @@
                                         time_point now) const
 {
     std::uint32_t total = 0;
-    for (const auto& [id, server] : m_servers) {
-        if (server->service != group.service || !is_usable(*server, now)) {
+    for (const backend_server* const server : group.servers) {
+        if (!is_usable(*server, now)) {
             continue;
         }
-        const bool is_primary = group.primary == id;
+        const bool is_primary = group.primary == server->id;
         if (work.needs_primary
                 ? !is_primary
                 : work.required_position &&
--- a/packages/proxy/src/groups.cpp
+++ b/packages/proxy/src/groups.cpp
@@ -46,6 +46,7 @@
 
 void proxy::on_servers(const std::vector<directory::server_entry>& listing, time_point now)
 {
+    request_tick(tick_need::soon);
     const directory::directory_change change = m_directory.update(listing, now);
     for (const server_id id : change.added) {
         add_server(*m_directory.find(id));
@@ -85,6 +86,7 @@
 void proxy::set_served_groups(std::map<std::string, group_share, std::less<>> services,
                               time_point now)
 {
+    request_tick(tick_need::soon);
     m_served_groups = std::move(services);
     for (auto& [id, server] : m_servers) {
         if (server->connections.empty() && is_home_of(server->service)) {
@@ -130,8 +132,15 @@
     // The limit starts low and is raised over time: after a restart of all daemons, the servers
     // still count the old connections.
     added->connection_limit = m_options.min_idle_connections;
+    group_of(record.entry.service).servers.push_back(added.get());
     m_servers.emplace(record.id, std::move(added));
-    (void)group_of(record.entry.service);
+}
+
+void proxy::erase_server(server_id id)
+{
+    backend_server* const server = find_server(id);
+    std::erase(group_of(server->service).servers, server);
+    m_servers.erase(id);
 }
 
 void proxy::remove_server(server_id id, time_point now)
@@ -150,7 +159,7 @@
         }
     }
     if (server.connections.empty() && !is_former_primary(server)) {
-        m_servers.erase(id);
+        erase_server(id);
     }
 }
 
--- a/packages/proxy/src/lead.cpp
+++ b/packages/proxy/src/lead.cpp
@@ -56,6 +56,8 @@
     if (!m_exchange) {
         return;
     }
+    // Permits and questions of other daemons leave no time to be late.
+    request_tick(tick_need::soon);
     m_exchange->on_tick(now);
     apply_claims(now);
     read_claims(now);
@@ -83,7 +85,7 @@
 void proxy::read_claims(time_point now)
 {
     for (auto& [service, group] : m_groups) {
-        if (!is_home_of(service) && !has_connections(service)) {
+        if (!is_home_of(service) && !has_connections(*group)) {
             continue;
         }
         m_exchange->follow(service);
@@ -141,13 +143,15 @@
         }
     }
     group.release = started;
+    request_tick(tick_need::soon);
     log_decision(importance::notice, "follows a claim on the lead of a group", "",
                  {{"service", group.service},
                   {"token", std::to_string(claim.token)},
                   {"target", claim.target},
                   {"former", started.former ? name_of(*started.former) : ""}});
-    for (auto& [id, server] : m_servers) {
-        if (server->service == group.service && !may_lead(*server)) {
+    const std::vector<backend_server*> servers = group.servers;
+    for (backend_server* const server : servers) {
+        if (!may_lead(*server)) {
             abort_work_on(*server, now);
         }
     }
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -60,6 +60,9 @@
 
 void proxy::run_promotion_actions(database_group& group, time_point now)
 {
+    if (group.promotion.in_progress()) {
+        request_tick(tick_need::soon);
+    }
     for (promotion::action& next : group.promotion.take_actions()) {
         if (const auto* survey = std::get_if<promotion::survey_replicas>(&next)) {
             start_survey(group, *survey, now);
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -26,7 +26,7 @@
         return listing_urgency::urgent;
     }
     for (const auto& [name, group] : m_groups) {
-        if (!is_home_of(name) && !has_connections(name)) {
+        if (!is_home_of(name) && !has_connections(*group)) {
             continue;
         }
         if (!group->primary || group->promotion.in_progress()) {
@@ -42,11 +42,10 @@
     return need;
 }
 
-bool proxy::has_connections(const std::string& service) const
+bool proxy::has_connections(const database_group& group)
 {
-    return std::any_of(m_servers.begin(), m_servers.end(), [&service](const auto& entry) {
-        return entry.second->service == service && !entry.second->connections.empty();
-    });
+    return std::any_of(group.servers.begin(), group.servers.end(),
+                       [](const backend_server* server) { return !server->connections.empty(); });
 }
 
 std::vector<action> proxy::take_actions()
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -65,6 +65,7 @@
             }
             connection.phase = connection_phase::backing_off;
             work->not_before = now + busy_backoff;
+            request_tick(tick_need::soon);
             return;
         }
     }
@@ -109,6 +110,7 @@
     connection.command = command;
     connection.command_sent_at = now;
     connection.deadline = now + timeout;
+    request_tick(tick_need::running);
     emit(send_command{connection.id, std::move(command)});
 }
 
@@ -359,6 +361,7 @@
     }
     backend_server& server = *find_server(connection->server);
     server.health.failed(now);
+    request_tick(tick_need::soon);
     if (connection->phase == connection_phase::opening) {
         --server.opening_connections;
         server.connect_backoff = server.connect_backoff == duration{0}
--- a/packages/proxy/src/statement_end.cpp
+++ b/packages/proxy/src/statement_end.cpp
@@ -202,6 +202,7 @@
         work->sent = false;
         work->not_before = now + busy_backoff;
         connection.phase = connection_phase::backing_off;
+        request_tick(tick_need::soon);
         return true;
     }
     if (content.error == error_class::unknown_name && work->prepared) {
--- a/packages/proxy/src/timers.cpp
+++ b/packages/proxy/src/timers.cpp
@@ -23,6 +23,12 @@
 /// A shutdown closes a session only after it was idle for this time.
 constexpr duration min_idle_before_close = 100ms;
 
+/// Intervals between ticks: while a statement waits for a server or a promotion runs, while
+/// commands are in progress, and otherwise.
+constexpr duration shortest_tick_interval = 20ms;
+constexpr duration running_tick_interval = 100ms;
+constexpr duration idle_tick_interval = 250ms;
+
 /// The shutdown completes this long before the process would be killed.
 constexpr duration shutdown_margin = 300ms;
 
@@ -38,38 +44,87 @@
         }
     }
     m_last_tick = now;
+    m_tick_need = tick_need::idle;
     check_connections(now);
-    check_sessions(now);
     run_exchange(now);
     for (auto& [name, group] : m_groups) {
-        choose_primary(*group, now);
-        if (group->primary) {
-            group->leaderless_since.reset();
-        }
-        else if (!group->leaderless_since) {
-            group->leaderless_since = now;
-        }
-        check_queue(*group, now);
-        dispatch(*group, now);
-        if (is_home_of(name)) {
-            keep_primary_connected(*group, now);
-            update_promotion(*group, now);
+        check_group(*group, now);
+    }
+    if (m_shutdown_at) {
+        request_tick(tick_need::soon);
+        continue_shutdown(now);
+    }
+}
+
+void proxy::check_group(database_group& group, time_point now)
+{
+    const bool is_home = is_home_of(group.service);
+    if (!is_home && group.queue.empty() && !has_connections(group)) {
+        erase_gone_servers(group);
+        return;
+    }
+    choose_primary(group, now);
+    if (group.primary) {
+        group.leaderless_since.reset();
+    }
+    else if (!group.leaderless_since) {
+        group.leaderless_since = now;
+    }
+    if (!group.queue.empty()) {
+        check_queue(group, now);
+        dispatch(group, now);
+    }
+    if (is_home) {
+        keep_primary_connected(group, now);
+        update_promotion(group, now);
+    }
+    for (backend_server* const server : group.servers) {
+        if (server->connection_limit < share_of(group.service).connections &&
+            now - server->connection_limit_raised_at >= connection_limit_raise_interval) {
+            ++server->connection_limit;
+            server->connection_limit_raised_at = now;
         }
     }
-    for (auto next = m_servers.begin(); next != m_servers.end();) {
-        backend_server& server = *next->second;
-        if (server.connection_limit < share_of(server.service).connections &&
-            now - server.connection_limit_raised_at >= connection_limit_raise_interval) {
-            ++server.connection_limit;
-            server.connection_limit_raised_at = now;
+    erase_gone_servers(group);
+    if (!group.queue.empty() || group.promotion.in_progress() || group.survey || group.release ||
+        !group.paused_replicas.empty() || (is_home && is_failing(group, now))) {
+        request_tick(tick_need::soon);
+    }
+}
+
+void proxy::erase_gone_servers(database_group& group)
+{
+    const std::vector<backend_server*> servers = group.servers;
+    for (const backend_server* const server : servers) {
+        if (server->connections.empty() && m_directory.find(server->id) == nullptr &&
+            !is_former_primary(*server)) {
+            erase_server(server->id);
         }
-        const bool gone = server.connections.empty() && m_directory.find(server.id) == nullptr &&
-                          !is_former_primary(server);
-        next = gone ? m_servers.erase(next) : std::next(next);
     }
-    if (m_shutdown_at) {
-        continue_shutdown(now);
+}
+
+bool proxy::is_failing(const database_group& group, time_point now) const
+{
+    const auto primary = group.primary ? m_servers.find(*group.primary) : m_servers.end();
+    return primary == m_servers.end() || primary->second->health.failing_for(now) > duration{0};
+}
+
+void proxy::request_tick(tick_need need)
+{
+    m_tick_need = std::max(m_tick_need, need);
+}
+
+duration proxy::tick_interval() const
+{
+    switch (m_tick_need) {
+    case tick_need::soon:
+        return shortest_tick_interval;
+    case tick_need::running:
+        return running_tick_interval;
+    case tick_need::idle:
+        break;
     }
+    return idle_tick_interval;
 }
 
 void proxy::check_connections(time_point now)
@@ -95,8 +150,11 @@
             }
             break;
         case connection_phase::idle_in_transaction:
+            request_tick(tick_need::running);
+            check_idle_transaction(*connection, now);
             break;
         case connection_phase::backing_off:
+            request_tick(tick_need::soon);
             if (!connection->work) {
                 roll_back(*connection, now);
             }
@@ -105,12 +163,14 @@
             }
             break;
         case connection_phase::opening:
+            request_tick(tick_need::running);
             if (now >= connection->deadline) {
                 emit(close_server_connection{id});
                 on_server_connection_closed(id, "no answer to the start of a session", now);
             }
             break;
         default:
+            request_tick(tick_need::running);
             find_server(connection->server)->health.waiting_since(connection->command_sent_at, now);
             if (now >= connection->deadline) {
                 close_connection(id, "no answer in time", now);
@@ -186,29 +246,21 @@
     }
 }
 
-void proxy::check_sessions(time_point now)
+void proxy::check_idle_transaction(server_connection& connection, time_point now)
 {
     const duration limit = m_routes.current().transaction_idle_timeout;
-    if (limit == duration{0}) {
+    client_session* const session =
+        connection.transaction_owner ? find_session(*connection.transaction_owner) : nullptr;
+    if (limit == duration{0} || session == nullptr || !session->open_transaction ||
+        session->running || now - session->open_transaction->last_used < limit) {
         return;
     }
-    for (auto& [id, session] : m_sessions) {
-        if (!session->open_transaction || !session->open_transaction->connection ||
-            session->running || now - session->open_transaction->last_used < limit) {
-            continue;
-        }
-        log_decision(
-            importance::notice, "rolled back a transaction that its client left idle", "",
-            {{"idle_us", std::to_string((now - session->open_transaction->last_used).count())},
-             {"limit_us", std::to_string(limit.count())}});
-        server_connection* const connection =
-            find_connection(*session->open_transaction->connection);
-        session->open_transaction->connection.reset();
-        session->open_transaction->failed = true;
-        if (connection != nullptr) {
-            roll_back(*connection, now);
-        }
-    }
+    log_decision(importance::notice, "rolled back a transaction that its client left idle", "",
+                 {{"idle_us", std::to_string((now - session->open_transaction->last_used).count())},
+                  {"limit_us", std::to_string(limit.count())}});
+    session->open_transaction->connection.reset();
+    session->open_transaction->failed = true;
+    roll_back(connection, now);
 }
 
 void proxy::begin_shutdown(time_point now)
@@ -217,6 +269,7 @@
         return;
     }
     m_shutdown_at = now;
+    request_tick(tick_need::soon);
     for (auto& [id, session] : m_sessions) {
         session->close_at = now + m_random.between(duration{0}, session_close_window);
     }
