Wait for sockets with epoll

Opening a connection also looked for an HTTP proxy in the system's configuration.

Change: runtime/epoll_dispatcher, a QAbstractEventDispatcher on epoll; write notifiers that are set and cleared between two waits cost no system call. The application's proxy is set to none.

Ruled out: GLib's dispatcher (polls as well); own sockets instead of Qt's (a rewrite; Qt's sockets are a quarter of what is left).

--- a/packages/edge/src/run_edge.cpp
+++ b/packages/edge/src/run_edge.cpp
@@ -5,11 +5,14 @@
 
 #include "gypsumstep/adapter/node_settings.h"
 #include "gypsumstep/logging/logging.h"
+#include "gypsumstep/runtime/epoll_dispatcher.h"
 
 #include <QCoreApplication>
+#include <QNetworkProxy>
 
 #include <cstdio>
 #include <cstdlib>
+#include <memory>
 #include <utility>
 
 #include <unistd.h>
@@ -46,13 +49,17 @@
     if (check_only) {
         return 0;
     }
-    // Qt's own event dispatcher needs fewer resources than GLib's.
-    qputenv("QT_NO_GLIB", "1");
     line_logger output{STDOUT_FILENO};
     if (!start_logging(output)) {
         return exit_invalid_settings;
     }
+    auto dispatcher = std::make_unique<runtime::epoll_dispatcher>();
+    if (dispatcher->is_valid()) {
+        QCoreApplication::setEventDispatcher(dispatcher.release()); // owned by the application
+    }
     QCoreApplication application{argc, argv};
+    // Looking for a proxy costs more than the rest of opening a connection.
+    QNetworkProxy::setApplicationProxy(QNetworkProxy::NoProxy);
     int code = exit_cannot_listen;
     {
         edge_process process{std::move(*loaded.value), settings_file, output};
