--- a/packages/proxy/tests/simulated_fleet.h
+++ b/packages/proxy/tests/simulated_fleet.h
@@ -642,7 +642,7 @@
             violations.push_back("ONE: " + name + " ordered with an old token");
         }
         if (order.token == m_newest_token && m_newest_holder != name) {
-            violations.push_back("ONE: two daemons ordered with one token");
+            violations.emplace_back("ONE: two daemons ordered with one token");
         }
         m_newest_token = std::max(m_newest_token, order.token);
         m_newest_holder = name;
