Let a few daemons of each failure domain read the store for the others

Change: - relay/source_choice: six readers a domain in an order on which all agree; the first two read the store, the next ones while no earlier one is healthy, all others while none is. A reader that is silent for 2.5 s, or whose own calls fail, is passed over for 8 s. - edge/store_view joins store_reader (was store_follower), relay_server and relay_client: rows are passed on as they were read, with the store's version and clock; an older reading never replaces a newer one; a change goes out at once, an unchanged reading as such, a status each second. - A reader announces its subscribers together with itself; a restarted daemon whose announcement still holds does not write one. - Lists are read page by page, also of the daemons. - A domain of fewer than six daemons reads as before.

Ruled out (docs/design/platform.md): homes on few daemons only (the rest still needs the configuration); datagrams (the lists are too long).

Tests in virtual time: silent, refused (a third of all), all refused, restarted at once; against the stand-in: handing on, loss of both readers, shutdown, malformed bytes.

--- a/packages/edge/src/daemon_roster.h
+++ b/packages/edge/src/daemon_roster.h
@@ -1,32 +1,43 @@
 /// \file
-/// Announces this daemon in the store and reads the announcements of the other daemons.
+/// Announces this daemon in the store and keeps the list of the announced daemons.
 #pragma once
 
 #include "http_client.h"
 #include "store_clock.h"
 
 #include "gypsumstep/adapter/node_settings.h"
+#include "gypsumstep/adapter/store_calls.h"
 #include "gypsumstep/base/random.h"
 #include "gypsumstep/homes/home_table.h"
 
+#include <QObject>
 #include <QTimer>
 
 #include <functional>
-#include <string>
+#include <optional>
+#include <vector>
 
 namespace gypsumstep::edge {
 
-/// Keeps the table of homes up to date with the daemons' announcements in the store.
+/// Callbacks of the roster.
+struct roster_events {
+    /// Called after the first list, and after each list that changed the set of daemons.
+    std::function<void()> changed;
+    /// Returns the daemons that are announced together with this one.
+    std::function<std::vector<homes::daemon_entry>()> companions;
+    /// Whether another daemon announces this one together with itself.
+    std::function<bool()> is_announced_by_another;
+};
+
+/// Keeps the table of homes up to date with the daemons' announcements in the store, and this
+/// daemon's announcement in the store.
 class daemon_roster : public QObject {
 public:
-    /// \param on_change called after the first reading of the list, and after each reading
-    ///     that changed the set of daemons
     daemon_roster(const adapter::node_settings& settings, store_clock& clock, std::uint64_t seed,
-                  std::function<void()> on_change);
+                  roster_events events);
 
-    /// Reads the list of daemons. This daemon is announced after the first reading, which
-    /// also gives the store's clock for the announcement's time.
-    void start();
+    /// Passes the announcements that were read from the store.
+    void on_list(const std::vector<homes::announcement>& announcements);
 
     [[nodiscard]] homes::home_table& homes() { return m_homes; }
     [[nodiscard]] const homes::home_table& homes() const { return m_homes; }
@@ -35,20 +46,21 @@
     [[nodiscard]] bool is_loaded() const { return m_loaded; }
 
 private:
+    void check_announcement();
     void announce();
-    void read_list();
-    void on_list_read(const result<adapter::http_response>& response);
+    void on_announced(const result<adapter::http_response>& response, promotion::store_time time);
 
     homes::daemon_entry m_self;
     random_source m_random;
-    std::function<void()> m_on_change;
+    roster_events m_events;
     homes::home_table m_homes;
     http_client m_store;
     QTimer m_announcement_timer;
-    QTimer m_list_timer;
     store_clock& m_clock;
     bool m_loaded{false};
-    std::size_t m_lists_read{0}; ///< successful readings of the list
+    bool m_announcing{false};
+    bool m_announced_here{false};                        ///< in this life of the process
+    std::optional<promotion::store_time> m_announced_at; ///< newest announcement of this daemon
 };
 
 } // namespace gypsumstep::edge
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -75,7 +75,14 @@
           m_proxy.on_peer_message(message, boot_now());
           run_actions();
       }},
-      m_roster{m_settings, m_clock, seed_of(m_settings), [this] { on_daemons_changed(); }},
+      m_roster{m_settings,
+               m_clock,
+               seed_of(m_settings),
+               {
+                   [this] { on_daemons_changed(); },
+                   [this] { return m_store_view.subscribers(); },
+                   [this] { return !m_store_view.reads_store(); },
+               }},
       m_client_listener{client_listener_events(), session_id{1}},
       m_forwarding_listener{forwarding_listener_events(), first_forwarded_session},
       m_forwarder{m_client_listener, m_roster.homes(), seed_of(m_settings)},
@@ -95,24 +102,26 @@
                   run_actions();
               },
           }},
-      m_store_follower{m_settings.store,
-                       seed_of(m_settings),
-                       {
-                           [this](directory::configuration configuration) {
-                               m_proxy.on_configuration(std::move(configuration), boot_now());
-                               retry_forwarded_starts();
-                               update_served_groups();
-                           },
-                           [this](const std::vector<directory::server_entry>& servers) {
-                               m_servers_read_at = boot_now();
-                               m_proxy.on_servers(servers, m_servers_read_at);
-                               retry_forwarded_starts();
-                               run_actions();
-                           },
-                           [this] { return m_proxy.server_listing_urgency(); },
-                           [this] { return m_roster.homes().daemons().size(); },
-                           [this](promotion::store_time now) { m_clock.set(now); },
-                       }},
+      m_store_view{m_settings,
+                   m_clock,
+                   seed_of(m_settings),
+                   {
+                       [this](directory::configuration configuration) {
+                           m_proxy.on_configuration(std::move(configuration), boot_now());
+                           retry_forwarded_starts();
+                           update_served_groups();
+                       },
+                       [this](const std::vector<directory::server_entry>& servers) {
+                           m_servers_read_at = boot_now();
+                           m_proxy.on_servers(servers, m_servers_read_at);
+                           retry_forwarded_starts();
+                           run_actions();
+                       },
+                       [this](const std::vector<homes::announcement>& announcements) {
+                           m_roster.on_list(announcements);
+                       },
+                       [this] { return m_proxy.server_listing_urgency(); },
+                   }},
       m_promotion_executor{m_settings, m_clock, m_proxy,
                            [this](const std::string& service) {
                                const auto limit =
@@ -166,7 +175,7 @@
 {
     const time_point now = boot_now();
     m_proxy.on_tick(now);
-    m_store_follower.check_read_interval();
+    m_store_view.on_tick(now);
     retry_forwarded_starts();
     run_client_starts();
     m_forwarder.on_tick(now);
@@ -220,10 +229,9 @@
     log().info("started", {{"daemon", m_settings.name},
                            {"domain", m_settings.domain},
                            {"store", m_settings.store.host}});
-    // The list of daemons is read before anything else, since no client is served until it
-    // is known.
-    m_roster.start();
-    m_store_follower.start();
+    if (!m_store_view.start()) {
+        return false;
+    }
     schedule_tick();
     return true;
 }
@@ -294,7 +302,7 @@
 
 void edge_process::run(proxy::refresh_servers& /*action*/)
 {
-    m_store_follower.refresh_servers();
+    m_store_view.refresh_servers();
 }
 
 void edge_process::run(proxy::decision& action)
@@ -337,6 +345,7 @@
         m_stop_deadline = now + m_settings.shutdown_grace - stop_margin;
     }
     m_forwarding_listener.stop_listening();
+    m_store_view.begin_shutdown();
     m_forwarder.begin_shutdown(now);
     m_proxy.begin_shutdown(now);
     run_actions();
@@ -352,7 +361,7 @@
     const bool changed = loaded.value && !(*loaded.value == m_settings);
     log().info("read the settings file again",
                {{"changed", changed}, {"in_force_after_restart", changed}});
-    m_store_follower.reload();
+    m_store_view.reload();
 }
 
 adapter::http_response edge_process::readiness_response(const std::string& path)
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -12,7 +12,7 @@
 #include "server_connections.h"
 #include "session_forwarder.h"
 #include "store_clock.h"
-#include "store_follower.h"
+#include "store_view.h"
 
 #include "gypsumstep/adapter/node_settings.h"
 #include "gypsumstep/metrics/registry.h"
@@ -104,7 +104,7 @@
     client_listener m_forwarding_listener; ///< accepts sessions that other daemons forward
     session_forwarder m_forwarder;
     server_connections m_server_connections;
-    store_follower m_store_follower;
+    store_view m_store_view;
     promotion_executor m_promotion_executor;
     http_server m_readiness_endpoint;
     http_server m_metrics_endpoint;
--- a/packages/edge/src/edge_sessions.cpp
+++ b/packages/edge/src/edge_sessions.cpp
@@ -74,10 +74,10 @@
             id, pending_start{message, boot_now() + forwarded_start_timeout});
         schedule_tick();
         if (old_configuration) {
-            m_store_follower.reload();
+            m_store_view.reload();
         }
         if (old_server_list) {
-            m_store_follower.read_servers_now();
+            m_store_view.read_servers_now();
         }
         return;
     }
@@ -192,7 +192,7 @@
     m_served_groups = served;
     m_proxy.set_served_groups(std::move(served), boot_now());
     if (m_proxy.server_listing_urgency() > proxy::listing_urgency::none) {
-        m_store_follower.refresh_servers();
+        m_store_view.refresh_servers();
     }
     run_actions();
 }
--- a/packages/edge/src/http_client.cpp
+++ b/packages/edge/src/http_client.cpp
@@ -163,6 +163,14 @@
     finish_call(problem);
 }
 
+void http_client::cancel()
+{
+    m_call_timer.stop();
+    m_pending_calls.clear();
+    m_parser.reset();
+    reset_socket();
+}
+
 void http_client::reset_socket()
 {
     if (m_socket == nullptr) {
--- a/packages/edge/src/http_client.h
+++ b/packages/edge/src/http_client.h
@@ -34,6 +34,10 @@
     /// counts towards it.
     void call(adapter::http_request request, duration timeout, handler on_response);
 
+    /// Drops all calls without a response; their handlers are not called. Calls that were sent may
+    /// still be performed.
+    void cancel();
+
     /// Number of calls without a response, including queued ones.
     [[nodiscard]] std::size_t pending() const { return m_pending_calls.size(); }
 
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -1,9 +1,10 @@
 #include "peer_codec.h"
 
+#include "cbor_reading.h"
+
 #include <QCborArray>
 #include <QCborValue>
 
-#include <limits>
 #include <optional>
 
 namespace gypsumstep::edge {
@@ -15,88 +16,7 @@
 /// Age of a sender that knows no claims of the store yet.
 constexpr qint64 unknown_age = -1;
 
-QCborValue to_cbor(const std::string& text)
-{
-    return QString::fromStdString(text);
-}
-
-QCborValue to_cbor(std::uint64_t number)
-{
-    return static_cast<qint64>(number);
-}
-
-/// Reads the elements of one array in order. Once an element is missing or of another type, the
-/// reader has failed and all further values are empty.
-class array_reader {
-public:
-    explicit array_reader(const QCborValue& value) : m_failed{!value.isArray()}
-    {
-        if (!m_failed) {
-            m_array = value.toArray();
-        }
-    }
-
-    QCborValue next()
-    {
-        if (m_place >= m_array.size()) {
-            m_failed = true;
-            return {};
-        }
-        return m_array.at(m_place++);
-    }
-
-    std::string text()
-    {
-        const QCborValue value = next();
-        m_failed = m_failed || !value.isString();
-        return value.toString().toStdString();
-    }
-
-    std::uint64_t number()
-    {
-        const QCborValue value = next();
-        const qint64 number = value.toInteger(-1);
-        m_failed = m_failed || !value.isInteger() || number < 0;
-        return m_failed ? 0 : static_cast<std::uint64_t>(number);
-    }
-
-    /// A number that may be negative.
-    qint64 integer()
-    {
-        const QCborValue value = next();
-        m_failed = m_failed || !value.isInteger();
-        return value.toInteger();
-    }
-
-    bool boolean()
-    {
-        const QCborValue value = next();
-        m_failed = m_failed || !value.isBool();
-        return value.toBool();
-    }
-
-    /// Reads an array and calls \p read(value) for each of its elements.
-    template <class Read>
-    void each(Read&& read)
-    {
-        const QCborValue value = next();
-        m_failed = m_failed || !value.isArray();
-        for (const QCborValue element : value.toArray()) {
-            read(element);
-        }
-    }
-
-    [[nodiscard]] bool at_end() const { return m_place >= m_array.size(); }
-    [[nodiscard]] bool failed() const { return m_failed; }
-    void fail() { m_failed = true; }
-
-private:
-    QCborArray m_array;
-    qsizetype m_place{0};
-    bool m_failed{false};
-};
-
-promotion::claim_notice read_claim(array_reader& fields)
+promotion::claim_notice read_claim(cbor_array_reader& fields)
 {
     promotion::claim_notice notice;
     notice.service = fields.text();
@@ -105,7 +25,7 @@
     return notice;
 }
 
-promotion::release_notice read_release(array_reader& fields)
+promotion::release_notice read_release(cbor_array_reader& fields)
 {
     promotion::release_notice notice;
     notice.service = fields.text();
@@ -160,7 +80,7 @@
     if (problem.error != QCborError{QCborError::NoError} || problem.offset != bytes.size()) {
         return malformed;
     }
-    array_reader fields{document};
+    cbor_array_reader fields{document};
     if (fields.number() != static_cast<std::uint64_t>(format_version)) {
         return malformed;
     }
@@ -173,12 +93,12 @@
     }
     bool elements_failed = false;
     fields.each([&](const QCborValue& element) {
-        array_reader claim{element};
+        cbor_array_reader claim{element};
         message.claims.push_back(read_claim(claim));
         elements_failed = elements_failed || claim.failed();
     });
     fields.each([&](const QCborValue& element) {
-        array_reader notice{element};
+        cbor_array_reader notice{element};
         message.releases.push_back(read_release(notice));
         elements_failed = elements_failed || notice.failed();
     });
--- /dev/null
+++ b/packages/edge/src/relay_codec.h
@@ -0,0 +1,82 @@
+/// \file
+/// Messages between a daemon that reads the store and those that take its contents from it.
+#pragma once
+
+#include "store_subject.h"
+
+#include "gypsumstep/adapter/store_calls.h"
+#include "gypsumstep/base/error.h"
+#include "gypsumstep/base/time.h"
+#include "gypsumstep/homes/home_table.h"
+#include "gypsumstep/proxy/proxy.h"
+
+#include <QByteArray>
+
+#include <optional>
+#include <variant>
+
+namespace gypsumstep::edge {
+
+/// Subscribes the sender.
+struct relay_hello {
+    homes::daemon_entry daemon; ///< to be announced with the reader's own announcement
+
+    friend bool operator==(const relay_hello&, const relay_hello&) = default;
+};
+
+/// Tells how urgently the subscriber needs the servers' registrations. The reader sends none while
+/// it needs none.
+struct relay_urgency {
+    proxy::listing_urgency servers{proxy::listing_urgency::none};
+
+    friend bool operator==(const relay_urgency&, const relay_urgency&) = default;
+};
+
+/// Sent by a reader each second.
+struct relay_status {
+    duration failing_for{0}; ///< how long the reader's calls to the store have failed
+    promotion::store_time store_clock{0};
+
+    friend bool operator==(const relay_status&, const relay_status&) = default;
+};
+
+/// All rows of a subject.
+struct relay_rows {
+    store_subject subject{store_subject::configuration};
+    adapter::stored_rows rows;
+
+    friend bool operator==(const relay_rows&, const relay_rows&) = default;
+};
+
+/// A subject was read again, with the same contents as those sent before.
+struct relay_unchanged {
+    store_subject subject{store_subject::configuration};
+    adapter::store_moment moment;
+
+    friend bool operator==(const relay_unchanged&, const relay_unchanged&) = default;
+};
+
+using relay_message =
+    std::variant<relay_hello, relay_urgency, relay_status, relay_rows, relay_unchanged>;
+
+/// Largest encoded message, in bytes. A list of 6,000 daemons or servers has half of it.
+inline constexpr qsizetype max_relay_message_bytes = 8 << 20;
+
+/// Encodes a message as a length of four bytes, most significant first, and CBOR.
+[[nodiscard]] QByteArray encode_relay_message(const relay_message& message);
+
+/// Decodes messages from a stream of bytes.
+class relay_decoder {
+public:
+    void feed(const QByteArray& bytes) { m_buffer += bytes; }
+
+    /// Returns the next message, or nothing if it is not complete yet.
+    /// \return error_code::invalid_argument if the bytes are malformed; the connection is of no use
+    ///     then
+    [[nodiscard]] result<std::optional<relay_message>> next();
+
+private:
+    QByteArray m_buffer;
+};
+
+} // namespace gypsumstep::edge
--- /dev/null
+++ b/packages/edge/src/relay_server.cpp
@@ -0,0 +1,237 @@
+#include "relay_server.h"
+
+#include "socket_options.h"
+
+#include "gypsumstep/logging/logging.h"
+
+#include <QHostAddress>
+
+#include <algorithm>
+#include <utility>
+
+namespace gypsumstep::edge {
+namespace {
+
+/// Interval of the status messages; short against relay::source_choice::silence_limit.
+constexpr std::chrono::milliseconds status_interval{1000};
+
+/// Largest size of the messages buffered for a subscriber, in bytes. One that does not read them
+/// is disconnected.
+constexpr qint64 max_unread_bytes = 2 * static_cast<qint64>(max_relay_message_bytes);
+
+constexpr keepalive_settings subscriber_keepalive{1, 1, 2, 2500};
+
+const logging::logger& log()
+{
+    static const logging::logger instance{"relay"};
+    return instance;
+}
+
+} // namespace
+
+relay_server::relay_server(relay_server_events events) : m_events{std::move(events)}
+{
+    connect(&m_server, &QTcpServer::newConnection, this, [this] { accept(); });
+    connect(&m_status_timer, &QTimer::timeout, this, [this] { send_status(); });
+}
+
+bool relay_server::listen(const std::string& host, std::uint16_t port)
+{
+    return m_server.listen(QHostAddress{QString::fromStdString(host)}, port);
+}
+
+void relay_server::close()
+{
+    m_server.close();
+    m_status_timer.stop();
+    while (!m_subscriptions.empty()) {
+        QTcpSocket* const socket = m_subscriptions.begin()->first;
+        remove(socket);
+        socket->disconnectFromHost();
+    }
+}
+
+void relay_server::accept()
+{
+    while (QTcpSocket* const socket = m_server.nextPendingConnection()) {
+        socket->setParent(this);
+        set_socket_options(*socket, subscriber_keepalive);
+        auto accepted = std::make_unique<subscription>();
+        accepted->socket = socket;
+        m_subscriptions.emplace(socket, std::move(accepted));
+        connect(socket, &QTcpSocket::readyRead, this, [this, socket] { read(socket); });
+        connect(socket, &QTcpSocket::disconnected, this, [this, socket] { remove(socket); });
+        if (!m_status_timer.isActive()) {
+            m_status_timer.start(status_interval);
+        }
+        if (socket->bytesAvailable() > 0) {
+            read(socket);
+        }
+    }
+}
+
+void relay_server::remove(QTcpSocket* socket)
+{
+    const auto found = m_subscriptions.find(socket);
+    if (found == m_subscriptions.end()) {
+        return;
+    }
+    m_subscriptions.erase(found);
+    socket->disconnect(this);
+    connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+    if (socket->state() == QAbstractSocket::UnconnectedState) {
+        socket->deleteLater();
+    }
+    if (m_subscriptions.empty()) {
+        m_status_timer.stop();
+    }
+    m_events.urgency_changed();
+}
+
+void relay_server::read(QTcpSocket* socket)
+{
+    auto found = m_subscriptions.find(socket);
+    if (found == m_subscriptions.end()) {
+        return;
+    }
+    found->second->decoder.feed(socket->readAll());
+    // Handling a message may end the subscription.
+    while ((found = m_subscriptions.find(socket)) != m_subscriptions.end()) {
+        const auto message = found->second->decoder.next();
+        if (message.has_error()) {
+            log().warn("closed a subscriber's connection",
+                       {{"cause", message.error().message},
+                        {"address", socket->peerAddress().toString().toStdString()}});
+            remove(socket);
+            socket->abort();
+            return;
+        }
+        if (!message.value()) {
+            return;
+        }
+        on_message(*found->second, *message.value());
+    }
+}
+
+void relay_server::on_message(subscription& subscriber, const relay_message& message)
+{
+    if (const auto* hello = std::get_if<relay_hello>(&message)) {
+        subscriber.daemon = hello->daemon;
+        send(subscriber, encode_relay_message(m_events.status()));
+        for (const store_subject subject : {store_subject::configuration, store_subject::daemons}) {
+            if (const auto& newest = m_newest.at(index_of(subject))) {
+                send(subscriber, encode_relay_message(*newest));
+            }
+        }
+        return;
+    }
+    const auto* urgency = std::get_if<relay_urgency>(&message);
+    if (urgency == nullptr || !subscriber.daemon) {
+        log().warn("ignored a subscriber's message that is not for a reader", {});
+        return;
+    }
+    subscriber.servers = urgency->servers;
+    const auto& newest = m_newest.at(index_of(store_subject::servers));
+    if (urgency->servers == proxy::listing_urgency::none) {
+        subscriber.has_servers = false;
+    }
+    else if (!subscriber.has_servers && newest) {
+        subscriber.has_servers = true;
+        send(subscriber, encode_relay_message(*newest));
+    }
+    m_events.urgency_changed();
+}
+
+void relay_server::publish(store_subject subject, const adapter::stored_rows& rows, bool changed)
+{
+    auto& newest = m_newest.at(index_of(subject));
+    const bool is_first = !newest;
+    if (changed || is_first) {
+        newest = relay_rows{subject, rows};
+    }
+    else {
+        newest->rows.moment = rows.moment;
+    }
+    QByteArray whole;
+    QByteArray unchanged;
+    const std::vector<QTcpSocket*> sockets = [this] {
+        std::vector<QTcpSocket*> all;
+        for (const auto& [socket, subscriber] : m_subscriptions) {
+            all.push_back(socket);
+        }
+        return all;
+    }();
+    for (QTcpSocket* const socket : sockets) {
+        const auto found = m_subscriptions.find(socket);
+        if (found == m_subscriptions.end() || !found->second->daemon) {
+            continue;
+        }
+        subscription& subscriber = *found->second;
+        const bool is_servers = subject == store_subject::servers;
+        if (is_servers && subscriber.servers == proxy::listing_urgency::none) {
+            subscriber.has_servers = false;
+            continue;
+        }
+        if (changed || is_first || (is_servers && !subscriber.has_servers)) {
+            if (whole.isEmpty()) {
+                whole = encode_relay_message(*newest);
+            }
+            subscriber.has_servers = subscriber.has_servers || is_servers;
+            send(subscriber, whole);
+            continue;
+        }
+        if (unchanged.isEmpty()) {
+            unchanged = encode_relay_message(relay_unchanged{subject, rows.moment});
+        }
+        send(subscriber, unchanged);
+    }
+}
+
+void relay_server::send(subscription& subscriber, const QByteArray& bytes)
+{
+    QTcpSocket* const socket = subscriber.socket;
+    socket->write(bytes);
+    socket->flush();
+    if (socket->bytesToWrite() > max_unread_bytes) {
+        log().warn("closed a subscriber's connection", {{"cause", "it does not read"}});
+        socket->abort();
+    }
+}
+
+void relay_server::send_status()
+{
+    const QByteArray bytes = encode_relay_message(m_events.status());
+    std::vector<QTcpSocket*> sockets;
+    for (const auto& [socket, subscriber] : m_subscriptions) {
+        if (subscriber->daemon) {
+            sockets.push_back(socket);
+        }
+    }
+    for (QTcpSocket* const socket : sockets) {
+        if (const auto found = m_subscriptions.find(socket); found != m_subscriptions.end()) {
+            send(*found->second, bytes);
+        }
+    }
+}
+
+proxy::listing_urgency relay_server::server_listing_urgency() const
+{
+    auto most = proxy::listing_urgency::none;
+    for (const auto& [socket, subscriber] : m_subscriptions) {
+        most = std::max(most, subscriber->servers);
+    }
+    return most;
+}
+
+std::vector<homes::daemon_entry> relay_server::subscribers() const
+{
+    std::vector<homes::daemon_entry> daemons;
+    for (const auto& [socket, subscriber] : m_subscriptions) {
+        if (subscriber->daemon) {
+            daemons.push_back(*subscriber->daemon);
+        }
+    }
+    return daemons;
+}
+
+} // namespace gypsumstep::edge
--- /dev/null
+++ b/packages/edge/src/relay_server.h
@@ -0,0 +1,75 @@
+/// \file
+/// Passes the store's contents on to subscribed daemons.
+#pragma once
+
+#include "relay_codec.h"
+
+#include <QObject>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gypsumstep::edge {
+
+/// What the relay server needs from its owner.
+struct relay_server_events {
+    /// How urgently the subscribers need the servers' registrations may have changed.
+    std::function<void()> urgency_changed;
+    /// Returns what is told to the subscribers each second.
+    std::function<relay_status()> status;
+};
+
+/// Accepts the subscriptions of other daemons and sends them what this daemon reads from the
+/// store: each subject whole when it has changed, and otherwise that it has not.
+class relay_server : public QObject {
+public:
+    explicit relay_server(relay_server_events events);
+
+    /// False if the address cannot be used.
+    [[nodiscard]] bool listen(const std::string& host, std::uint16_t port);
+
+    /// Ends all subscriptions and accepts no more, so that the subscribers turn to another reader.
+    void close();
+
+    /// Passes on a reading of a subject.
+    /// \param changed whether it differs from the reading before in what subscribers use
+    void publish(store_subject subject, const adapter::stored_rows& rows, bool changed);
+
+    /// Returns how urgently any subscriber needs the servers' registrations.
+    [[nodiscard]] proxy::listing_urgency server_listing_urgency() const;
+
+    /// Returns the subscribed daemons.
+    [[nodiscard]] std::vector<homes::daemon_entry> subscribers() const;
+
+private:
+    struct subscription {
+        QTcpSocket* socket{nullptr};
+        relay_decoder decoder;
+        std::optional<homes::daemon_entry> daemon; ///< empty until its hello
+        proxy::listing_urgency servers{proxy::listing_urgency::none};
+        bool has_servers{false}; ///< the newest registrations were sent
+    };
+
+    void accept();
+    void read(QTcpSocket* socket);
+    void on_message(subscription& subscriber, const relay_message& message);
+    void remove(QTcpSocket* socket);
+    void send(subscription& subscriber, const QByteArray& bytes);
+    void send_status();
+
+    relay_server_events m_events;
+    QTcpServer m_server;
+    QTimer m_status_timer;
+    std::map<QTcpSocket*, std::unique_ptr<subscription>> m_subscriptions;
+    std::array<std::optional<relay_rows>, store_subject_count> m_newest; ///< by subject
+};
+
+} // namespace gypsumstep::edge
--- a/packages/homes/include/gypsumstep/homes/home_table.h
+++ b/packages/homes/include/gypsumstep/homes/home_table.h
@@ -44,6 +44,16 @@
     friend auto operator<=>(const announcement&, const announcement&) = default;
 };
 
+/// A daemon whose announcement is older than this counts as ended. Long enough that one renewal may
+/// be lost.
+inline constexpr std::chrono::milliseconds announcement_lifetime{90'000};
+
+/// Whether the announced daemon counts as ended at \p now, by the store's clock.
+[[nodiscard]] constexpr bool is_expired(const announcement& value, std::chrono::milliseconds now)
+{
+    return value.announced_at < now - announcement_lifetime;
+}
+
 /// Selects homes by weighted rendezvous hashing.
 class home_table {
 public:
--- a/testing/soak/daemon_set.cpp
+++ b/testing/soak/daemon_set.cpp
@@ -19,9 +19,9 @@
 namespace gypsumstep::soak {
 namespace {
 
-/// Each daemon listens for clients, readiness probes, metrics scrapes and sessions that other
-/// daemons forward.
-constexpr std::uint16_t ports_per_daemon = 4;
+/// Each daemon listens for clients, readiness probes, metrics scrapes, and other daemons that
+/// forward sessions or take the store's contents from it.
+constexpr std::uint16_t ports_per_daemon = 5;
 
 /// Additional delay before a daemon that ended is started again.
 constexpr std::chrono::milliseconds restart_delay{100};
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -20,7 +20,7 @@
 ABSL_FLAG(std::uint32_t, seconds, 8, "time during which faults are injected, s");
 ABSL_FLAG(std::uint32_t, recovery_seconds, 12, "time limit for recovery after the last fault, s");
 ABSL_FLAG(std::uint32_t, first_port, 21'000,
-          "a free block of four loopback ports for each daemon is searched from this port on");
+          "a free block of five loopback ports for each daemon is searched from this port on");
 ABSL_FLAG(std::string, logs, "", "folder for the daemons' logs of failed seeds");
 // NOLINTEND
 
