--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -90,7 +90,7 @@
     command.id = work->request.id;
     command.text = work->request.text;
     if (prepared != nullptr) {
-        command.name = statement::connection_state::name_of(*prepared);
+        command.name = connection.replayed.name_of(*prepared);
         command.value = work->request.value;
     }
     if (!owner->open_transaction && work->is_read) {
--- a/packages/proxy/tests/test_statements.cpp
+++ b/packages/proxy/tests/test_statements.cpp
@@ -75,6 +75,37 @@
     CHECK(sent[0].command.name != sent[1].command.name);
 }
 
+// PINNED: the second PREPARE redefined the first session's statement on the server connection.
+TEST_CASE("a shape with blanks does not redefine another session's prepared statement")
+{
+    harness world;
+    world.start();
+    // What each prepared name runs on a server connection, by the fields of the commands.
+    std::map<std::pair<proxy::server_connection_id, std::string>, std::string> prepared;
+    std::vector<std::string> executed;
+    world.script = [&](const received_command& received) -> std::optional<statement::answer> {
+        const statement::server_command& command = received.command;
+        if (command.kind == command_kind::prepare) {
+            const std::string fields = command.name + " WRITE " + command.value;
+            const std::size_t blank = fields.find(' ');
+            prepared[{received.connection, fields.substr(0, blank)}] = fields.substr(blank + 1);
+        }
+        if (command.kind == command_kind::forward) {
+            executed.push_back(prepared[{received.connection, command.name}]);
+        }
+        return std::nullopt;
+    };
+    const session_id first = world.connect("primary");
+    const session_id second = world.connect("primary");
+    (void)world.ask(first, harness::prepare("s1", statement::access::write, "deposit"));
+    (void)world.ask(second, harness::prepare("s1", statement::access::write, "deposit WRITE b"));
+    CHECK(world.ask(first, harness::execute("s1"))->ok());
+    CHECK(world.ask(second, harness::execute("s1"))->ok());
+    CHECK(world.ask(first, harness::execute("s1"))->ok());
+    CHECK(executed ==
+          std::vector<std::string>{"WRITE deposit", "WRITE deposit WRITE b", "WRITE deposit"});
+}
+
 TEST_CASE("a prepared statement that the server lost is prepared again")
 {
     harness world;
--- a/packages/statement/include/gypsumstep/statement/server_command.h
+++ b/packages/statement/include/gypsumstep/statement/server_command.h
@@ -19,7 +19,7 @@
     begin_read_only, ///< sent by the proxy
     rollback,        ///< sent by the proxy
     set,             ///< replays a session value
-    prepare,         ///< prepares a statement under connection_state::name_of()
+    prepare,         ///< prepares a statement under a name that the proxy chose
     reset,           ///< clears session values and prepared statements
     status,          ///< requests server_status
     pause,           ///< the replica stops receiving the log until it is resumed or promoted
--- a/packages/statement/include/gypsumstep/statement/session_state.h
+++ b/packages/statement/include/gypsumstep/statement/session_state.h
@@ -5,9 +5,9 @@
 #include "gypsumstep/statement/server_command.h"
 #include "gypsumstep/statement/statement.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -37,12 +37,13 @@
 
 /// The session values and prepared statements that a server connection currently holds.
 ///
-/// Prepared statements are shared between sessions: each has one name on the connection, derived
-/// from its access mode and shape, whatever names the clients chose.
+/// Prepared statements are shared between sessions: each has one name on the connection, whatever
+/// names the clients chose. The names are numbered, because a shape may hold any text.
 class connection_state {
 public:
-    /// Returns the name that a prepared statement has on every server connection.
-    [[nodiscard]] static std::string name_of(const prepared_statement& shape);
+    /// Returns the name that a prepared statement has on this connection. The server must have
+    /// acknowledged its preparation: next_replay() returned nothing for it.
+    [[nodiscard]] const std::string& name_of(const prepared_statement& shape) const;
 
     /// Returns the next command needed before a statement of \p session may run on the
     /// connection, or nothing if none is needed. \p needed is the prepared statement that it
@@ -64,7 +65,8 @@
     [[nodiscard]] bool has_foreign_value(const session_state::value_map& wanted) const;
 
     session_state::value_map m_values;
-    std::set<std::string, std::less<>> m_prepared;
+    std::map<prepared_statement, std::string> m_prepared; ///< name on the connection by statement
+    std::uint64_t m_next_name{1};                         ///< names are not reused
 };
 
 } // namespace gypsumstep::statement
--- a/packages/statement/src/session_state.cpp
+++ b/packages/statement/src/session_state.cpp
@@ -45,9 +45,9 @@
     return found == m_prepared.end() ? nullptr : &found->second;
 }
 
-std::string connection_state::name_of(const prepared_statement& shape)
+const std::string& connection_state::name_of(const prepared_statement& shape) const
 {
-    return (shape.mode == access::write ? "w_" : "r_") + shape.shape;
+    return m_prepared.at(shape);
 }
 
 std::optional<server_command> connection_state::next_replay(const session_state& session,
@@ -67,9 +67,9 @@
             return command;
         }
     }
-    if (needed != nullptr && !m_prepared.contains(name_of(*needed))) {
+    if (needed != nullptr && !m_prepared.contains(*needed)) {
         command.kind = command_kind::prepare;
-        command.name = name_of(*needed);
+        command.name = (needed->mode == access::write ? "w_" : "r_") + std::to_string(m_next_name);
         command.value = needed->shape;
         command.mode = needed->mode;
         return command;
@@ -100,7 +100,8 @@
         m_values.insert_or_assign(command.name, command.value);
         break;
     case command_kind::prepare:
-        m_prepared.insert(command.name);
+        m_prepared.insert_or_assign({command.mode, command.value}, command.name);
+        ++m_next_name;
         break;
     default:
         break;
@@ -109,7 +110,7 @@
 
 void connection_state::forget(const prepared_statement& shape)
 {
-    m_prepared.erase(name_of(shape));
+    m_prepared.erase(shape);
 }
 
 bool connection_state::has_foreign_value(const session_state::value_map& wanted) const
--- a/packages/statement/tests/test_session_state.cpp
+++ b/packages/statement/tests/test_session_state.cpp
@@ -4,6 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+#include <string>
+#include <vector>
+
 using namespace gypsumstep::statement;
 
 namespace {
@@ -72,8 +76,56 @@
     REQUIRE(command);
     CHECK(command->kind == command_kind::prepare);
     CHECK(command->value == "q2");
-    CHECK(connection_state::name_of(*first.find("s1")) !=
-          connection_state::name_of(*second.find("s1")));
+    connection.on_acknowledged(*command);
+    CHECK(connection.name_of(*first.find("s1")) != connection.name_of(*second.find("s1")));
+}
+
+// PINNED: a shape with blanks became part of the PREPARE command's name field, so that the command
+// redefined the prepared statement of another session.
+TEST_CASE("a shape never changes the fields of the command that prepares another statement")
+{
+    const std::vector<std::string> shapes{"deposit",
+                                          "deposit WRITE audit",
+                                          "deposit READ audit",
+                                          "deposit ",
+                                          " deposit",
+                                          " ",
+                                          "1",
+                                          "w_1",
+                                          "r_1",
+                                          std::string(4096, 'x')};
+    connection_state connection;
+    std::set<std::string> names;
+    for (const std::string& shape : shapes) {
+        for (const auto mode : {access::read, access::write}) {
+            session_state session;
+            session.prepare("s1", {mode, shape});
+            const prepared_statement& needed = *session.find("s1");
+            const auto command = connection.next_replay(session, &needed);
+            REQUIRE(command);
+            CHECK(command->value == shape);
+            CHECK(command->mode == mode);
+            CHECK(command->name.find_first_of(" \r\n") == std::string::npos);
+            CHECK(command->name.size() < 32);
+            CHECK(names.insert(command->name).second);
+            connection.on_acknowledged(*command);
+            CHECK(connection.name_of(needed) == command->name);
+            CHECK_FALSE(connection.next_replay(session, &needed));
+        }
+    }
+}
+
+TEST_CASE("a statement that is prepared again does not reuse a name that the server may know")
+{
+    session_state session;
+    session.prepare("s1", {access::write, "q1"});
+    session.prepare("s2", {access::write, "q2"});
+    connection_state connection;
+    replay_all(connection, session, session.find("s1"));
+    const std::string first = connection.name_of(*session.find("s1"));
+    connection.forget(*session.find("s1"));
+    replay_all(connection, session, session.find("s2"));
+    CHECK(connection.name_of(*session.find("s2")) != first);
 }
 
 TEST_CASE("a reset also drops prepared statements")
--- a/testing/soak/soak_client.cpp
+++ b/testing/soak/soak_client.cpp
@@ -18,6 +18,7 @@
 constexpr double share_write = 0.25;
 constexpr double share_transaction = 0.3;
 constexpr double share_prepared = 0.2;
+constexpr double share_shape_with_blanks = 0.3;
 constexpr double share_set = 0.1;
 constexpr double share_rollback = 0.15;
 constexpr double share_new_session = 0.05;
@@ -193,7 +194,10 @@
 {
     // All clients use the same statement name with different texts, so that a mix-up shows.
     const std::string mode = writes ? "WRITE" : "READ";
-    const std::string shape = mode + " q" + std::to_string(m_random.below(4));
+    std::string shape = mode + " q" + std::to_string(m_random.below(4));
+    if (m_random.chance(share_shape_with_blanks)) {
+        shape += " WRITE q" + std::to_string(m_random.below(4));
+    }
     const std::string arguments = std::to_string(m_random.below(items)) +
                                   (writes ? " d" + std::to_string(m_next_id) : std::string{});
     m_steps.push_back({"PREPARE s1 " + shape, "", "", false, false});
