--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -72,15 +72,22 @@
     time_point last_used{};
 };
 
+/// A session's newest acknowledged commit on one service.
+struct session_commit {
+    std::optional<log_position> position; ///< empty if the server's answer did not tell it
+    time_point acknowledged_at{};
+
+    friend bool operator==(const session_commit&, const session_commit&) = default;
+};
+
 /// A client's session.
 struct client_session {
     session_id id;
     std::string database; ///< empty until the session was started
     statement::session_state state;
     std::optional<client_transaction> open_transaction;
-    std::optional<log_position> last_commit;
-    time_point last_commit_at{};
-    std::string last_commit_service;
+    /// By service: a route may leave a service and come back to it during the session.
+    std::map<std::string, session_commit, std::less<>> last_commits;
     task_ptr running;
     std::deque<statement::statement> pipelined;
     time_point idle_since{};
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -18,6 +18,18 @@
     return std::chrono::duration_cast<duration>(route.statement_timeout * max_queueing_share);
 }
 
+/// Extends \p bound by a commit of the read's own session.
+void require_own_commit(freshness::read_bound& bound, const detail::session_commit& commit)
+{
+    if (commit.position) {
+        bound.own_commit = commit.position;
+        bound.own_commit_at = commit.acknowledged_at;
+        return;
+    }
+    // Without its position, only a watermark that was requested later is sure to include it.
+    bound.acknowledged_before = std::max(bound.acknowledged_before, commit.acknowledged_at);
+}
+
 } // namespace
 
 void proxy::on_client_connected(session_id id, time_point now)
@@ -256,10 +268,11 @@
         session.open_transaction ? !session.open_transaction->read_only : !work->is_read;
     work->bound.acknowledged_before =
         route.read_consistency == directory::consistency::primary ? now : now - route.max_staleness;
-    if (route.read_consistency == directory::consistency::read_your_writes &&
-        session.last_commit_service == route.service) {
-        work->bound.own_commit = session.last_commit;
-        work->bound.own_commit_at = session.last_commit_at;
+    if (route.read_consistency == directory::consistency::read_your_writes) {
+        if (const auto own = session.last_commits.find(route.service);
+            own != session.last_commits.end()) {
+            require_own_commit(work->bound, own->second);
+        }
     }
     return work;
 }
--- a/packages/proxy/src/statement_end.cpp
+++ b/packages/proxy/src/statement_end.cpp
@@ -95,9 +95,8 @@
     }
     if (committed_write) {
         add_watermark(group, connection, content, work->sent_at, now);
-        owner.last_commit = content.position;
-        owner.last_commit_at = now;
-        owner.last_commit_service = group.service;
+        owner.last_commits.insert_or_assign(group.service,
+                                            detail::session_commit{content.position, now});
     }
     if (work->is_read && !in_transaction) {
         m_hedge_credit = std::min(m_hedge_credit + hedge_share, max_hedge_credit);
--- a/packages/proxy/tests/harness.h
+++ b/packages/proxy/tests/harness.h
@@ -26,6 +26,7 @@
     bool primary{false};
     bool reachable{true};
     bool silent{false}; ///< accepts commands and never answers
+    std::string service{"ledger"};
     log_position position{term{1}, 100};
     std::size_t begun{0};  ///< transactions begun
     std::size_t writes{0}; ///< writes and committed writes that took effect
@@ -57,15 +58,17 @@
         return made;
     }
 
-    /// Applies a configuration that has one route per read consistency, named after it.
-    void configure(std::uint64_t version = 1, std::uint32_t sync_replicas = 0)
+    /// Applies a configuration that has one route per read consistency, named after it. All
+    /// routes lead to \p service.
+    void configure(std::uint64_t version = 1, std::uint32_t sync_replicas = 0,
+                   const std::string& service = "ledger")
     {
         directory::configuration made;
         made.version = config_version{version};
         const auto add = [&](const char* name, directory::consistency reads, std::uint32_t rank) {
             directory::route route;
             route.database = name;
-            route.service = "ledger";
+            route.service = service;
             route.read_consistency = reads;
             route.statement_timeout = 1s;
             route.priority = rank;
@@ -77,7 +80,7 @@
         add("bounded", directory::consistency::bounded_age, 1);
         add("own", directory::consistency::read_your_writes, 2);
         made.transaction_idle_timeout = 3s;
-        made.services["ledger"] = {33, sync_replicas};
+        made.services[service] = {33, sync_replicas};
         m_proxy.on_configuration(std::move(made), now);
         settle();
     }
@@ -86,7 +89,7 @@
     {
         directory::server_entry entry;
         entry.name = name;
-        entry.service = "ledger";
+        entry.service = servers[name].service;
         entry.host = name;
         entry.port = 1;
         entry.domain = "a";
--- a/packages/proxy/tests/test_freshness_routing.cpp
+++ b/packages/proxy/tests/test_freshness_routing.cpp
@@ -154,3 +154,48 @@
     }
     CHECK(opened);
 }
+
+// STALE: the session kept only its newest commit, so that the commit on the second service replaced
+// the one on the first.
+TEST_CASE("a session reads its commit on a service after it committed on another one")
+{
+    harness world;
+    world.servers["a"].primary = true;
+    world.servers["a"].service = "archive";
+    world.start();
+    const session_id client = world.connect("own");
+    (void)world.ask(client, harness::read());
+    CHECK(world.ask(client, harness::write())->ok());
+    const log_position own_commit = world.servers["p"].position;
+    REQUIRE(own_commit > world.servers["r"].position);
+
+    world.configure(2, 0, "archive");
+    CHECK(world.ask(client, harness::write())->signature == "sig-a");
+    world.configure(3, 0, "ledger");
+    world.advance_time(1s);
+    CHECK(world.ask(client, harness::read())->signature == "sig-p");
+    CHECK(world.commands(command_kind::forward).back().command.min_position == own_commit);
+}
+
+TEST_CASE("a read that follows a commit without a position needs a newer watermark")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("own");
+    (void)world.ask(client, harness::read());
+    CHECK(world.commands(command_kind::begin, "p").size() == 1);
+    world.script = [](const received_command& received) -> std::optional<statement::answer> {
+        if (!received.command.text.starts_with("WRITE")) {
+            return std::nullopt;
+        }
+        statement::answer content;
+        content.signature = "sig-p";
+        return content;
+    };
+    world.now += 10ms;
+    CHECK(world.ask(client, harness::write())->ok());
+    world.servers["p"].position.index = 101;
+    world.now += 10ms;
+    CHECK(world.ask(client, harness::read())->signature == "sig-p");
+    CHECK(world.commands(command_kind::begin, "p").size() == 2);
+}
