--- a/packages/promotion/include/gypsumstep/promotion/coordinator.h
+++ b/packages/promotion/include/gypsumstep/promotion/coordinator.h
@@ -26,6 +26,8 @@
     duration leaderless_for{0};         ///< how long this daemon has known no primary
     bool leaderless_confirmed{false};   ///< a list that was read meanwhile shows none either
     std::vector<std::string> replicas;  ///< instance ids of the ready replicas
+    /// Instance ids of the other registered servers: draining, or absent from the newest list.
+    std::vector<std::string> other_members;
     std::uint32_t sync_replicas{0}; ///< replicas that must hold a commit before it is acknowledged
     bool old_primary_stops{true};   ///< the platform stops the old primary when it promotes another
 
@@ -44,12 +46,14 @@
     friend bool operator==(const report_suspicion&, const report_suspicion&) = default;
 };
 
-/// Requests the log positions of the replicas.
+/// Requests the log positions of servers.
 struct survey_replicas {
     std::vector<std::string> servers;
-    bool pause{false};                    ///< also stops the replicas from receiving log entries
-    std::optional<std::string> demote;    ///< primary that must stop taking writes first
-    std::optional<log_position> required; ///< position that a replica should have received
+    bool pause{false}; ///< also stops the servers from receiving log entries
+    /// Primary that is asked first; a replica should have received the position that it reports.
+    std::optional<std::string> reference;
+    bool demote{false};                   ///< the reference must also stop taking writes
+    std::optional<log_position> required; ///< that position, if it is known already
 
     friend bool operator==(const survey_replicas&, const survey_replicas&) = default;
 };
@@ -92,6 +96,16 @@
 struct survey_answer {
     std::string server;
     std::optional<statement::server_status> status;
+
+    friend bool operator==(const survey_answer&, const survey_answer&) = default;
+};
+
+/// The result of a survey.
+struct survey_result {
+    std::vector<survey_answer> answers;
+    std::optional<log_position> required; ///< reported by the reference, or as requested
+
+    friend bool operator==(const survey_result&, const survey_result&) = default;
 };
 
 /// Runs this daemon's part in the promotions of one group.
@@ -101,6 +115,10 @@
 /// passed. Every new target gets a token that is higher than all earlier ones, so that the
 /// platform refuses a delayed order of a former holder.
 ///
+/// Where a commit is acknowledged only once sync_replicas replicas hold it, a server is promoted
+/// only if it is sure to hold every acknowledged commit. For that, all registered servers of the
+/// group are asked, and a draining one is promoted if no ready one qualifies.
+///
 /// Where the platform does not stop the old primary, the coordinator first claims that no server
 /// may lead, has the lead handed over (see claim_exchange), and only then chooses the target and
 /// claims it.
@@ -142,7 +160,7 @@
 
     void on_shared_state(const std::optional<shared_state>& state, time_point now);
     void on_suspicion_written(call_outcome outcome, time_point now);
-    void on_survey(const std::vector<survey_answer>& answers, time_point now);
+    void on_survey(const survey_result& result, time_point now);
     void on_claim_written(call_outcome outcome, time_point now);
     void on_handed_over(const hand_over_result& result, time_point now);
     void on_order(call_outcome outcome, time_point now);
@@ -164,6 +182,7 @@
         claiming_lead, ///< writes the claim that no server may lead
         handing_over,  ///< waits until no daemon uses the former primary
         reading_claim, ///< reads the version of the claim that it wrote
+        checking,      ///< asks whether a replica keeps up with the draining primary
         surveying,     ///< asks the replicas for their positions
         claiming,      ///< writes the claim on the target
         ordering,
@@ -174,11 +193,16 @@
     [[nodiscard]] bool needs_quorum() const;
     [[nodiscard]] bool has_quorum(const shared_state& state) const;
     [[nodiscard]] std::optional<std::string> best_replica() const;
+    [[nodiscard]] bool is_sure_to_hold_commits(const log_position& received) const;
+    [[nodiscard]] bool is_ready(const std::string& server) const;
+    [[nodiscard]] bool is_planned() const;
     [[nodiscard]] std::string former_primary() const;
     [[nodiscard]] std::vector<std::string> candidates() const;
     void begin_attempt(time_point now);
     void read_state(step next, time_point now);
     void survey(time_point now);
+    void check_replicas(time_point now);
+    void on_replicas_checked(const survey_result& result, time_point now);
     void claim_lead(time_point now);
     void write(claim next, step following, time_point now);
     void send_order(time_point now);
@@ -201,8 +225,10 @@
     time_point m_step_deadline{}; ///< when the current step starts, times out or is repeated
     std::optional<shared_state> m_shared;
     time_point m_read_at{};                 ///< when m_shared was asked for
-    std::optional<log_position> m_required; ///< position of the former primary
+    std::optional<log_position> m_required; ///< where the former primary's log ends
     std::vector<survey_answer> m_answers;
+    bool m_replicas_paused{false}; ///< during the last survey
+    bool m_replica_keeps_up{false};
     bool m_no_target_found{false}; ///< in the last survey
     claim m_claim;
     std::uint32_t m_orders_sent{0};               ///< orders sent under the current claim
--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -102,6 +102,7 @@
 {
     m_shared.reset();
     m_required.reset();
+    m_replica_keeps_up = false;
     if (needs_quorum()) {
         add_action(report_suspicion{m_group.primary.value_or("")});
     }
@@ -209,18 +210,64 @@
 
 void coordinator::survey(time_point now)
 {
+    const bool answers_in_time = m_group.primary_failing_for < suspicion_delay;
+    const bool is_synchronous = m_group.sync_replicas > 0;
+    if (is_synchronous && is_planned() && answers_in_time && !m_replica_keeps_up) {
+        check_replicas(now);
+        return;
+    }
     m_step = step::surveying;
     m_step_deadline = now + step_timeout;
     survey_replicas next;
-    next.servers = candidates();
-    next.pause = m_group.sync_replicas > 0;
     next.required = m_required;
-    if (m_group.old_primary_stops && m_group.primary && m_group.primary_draining) {
-        next.demote = m_group.primary;
+    if (is_planned()) {
+        next.reference = m_group.primary;
+        next.demote = true;
+    }
+    // Replicas that wait for the end of a stopped primary's log must go on receiving it. If none
+    // reaches it, the next survey compares the logs as they are.
+    const bool primary_stops = m_required || (is_planned() && answers_in_time);
+    m_replicas_paused = is_synchronous && (!primary_stops || m_no_target_found);
+    next.pause = m_replicas_paused;
+    next.servers = candidates();
+    if (next.pause) {
+        next.servers.insert(next.servers.end(), m_group.other_members.begin(),
+                            m_group.other_members.end());
     }
     add_action(std::move(next));
 }
 
+bool coordinator::is_planned() const
+{
+    return m_group.old_primary_stops && m_group.primary && m_group.primary_draining;
+}
+
+void coordinator::check_replicas(time_point now)
+{
+    m_step = step::checking;
+    m_step_deadline = now + step_timeout;
+    survey_replicas next;
+    next.servers = m_group.replicas;
+    next.reference = m_group.primary;
+    add_action(std::move(next));
+}
+
+void coordinator::on_replicas_checked(const survey_result& result, time_point now)
+{
+    m_replica_keeps_up =
+        result.required && std::any_of(result.answers.begin(), result.answers.end(),
+                                       [&result](const survey_answer& answer) {
+                                           return answer.status &&
+                                                  answer.status->received >= *result.required;
+                                       });
+    if (m_replica_keeps_up) {
+        survey(now);
+        return;
+    }
+    // No ready replica could lead without a loss, so the primary is not stopped yet.
+    retry_after(retry_backoff, now);
+}
+
 std::vector<std::string> coordinator::candidates() const
 {
     std::vector<std::string> servers = m_group.replicas;
@@ -230,12 +277,23 @@
     return servers.empty() ? m_group.replicas : servers;
 }
 
-void coordinator::on_survey(const std::vector<survey_answer>& answers, time_point now)
+bool coordinator::is_ready(const std::string& server) const
+{
+    return std::find(m_group.replicas.begin(), m_group.replicas.end(), server) !=
+           m_group.replicas.end();
+}
+
+void coordinator::on_survey(const survey_result& result, time_point now)
 {
+    if (m_step == step::checking) {
+        on_replicas_checked(result, now);
+        return;
+    }
     if (m_step != step::surveying) {
         return;
     }
-    m_answers = answers;
+    m_answers = result.answers;
+    m_required = result.required;
     claim_if_target_found(now);
 }
 
@@ -266,15 +324,10 @@
 
 std::optional<std::string> coordinator::best_replica() const
 {
-    std::optional<std::string> best;
-    log_position furthest;
-    std::size_t answered = 0;
+    const survey_answer* best = nullptr;
     for (const survey_answer& answer : m_answers) {
-        if (!answer.status) {
-            continue;
-        }
-        ++answered;
-        if (answer.server == m_rejected_target) {
+        if (!answer.status || answer.server == m_rejected_target ||
+            !is_sure_to_hold_commits(answer.status->received)) {
             continue;
         }
         if (answer.server == m_claim.former && answer.server != m_excluded &&
@@ -282,18 +335,33 @@
             // An order to promote it may still be carried out, after any later one.
             return answer.server;
         }
-        if (!best || answer.status->received > furthest) {
-            best = answer.server;
-            furthest = answer.status->received;
+        const bool ready = is_ready(answer.server);
+        if (best == nullptr || (ready && !is_ready(best->server)) ||
+            (ready == is_ready(best->server) && answer.status->received > best->status->received)) {
+            best = &answer;
         }
     }
+    return best == nullptr ? std::nullopt : std::optional{best->server};
+}
+
+bool coordinator::is_sure_to_hold_commits(const log_position& received) const
+{
+    if (m_group.sync_replicas == 0 || (m_required && received >= *m_required)) {
+        return true;
+    }
     // A commit is acknowledged once sync_replicas replicas hold it. Only if fewer replicas than
-    // that are silent, the log that received most is sure to contain every acknowledged commit.
-    const std::size_t silent = m_answers.size() - answered;
-    if (m_group.sync_replicas > 0 && silent >= m_group.sync_replicas) {
-        return std::nullopt;
+    // that are silent, and none can receive more, the log that received most is sure to contain
+    // every acknowledged commit.
+    std::size_t silent = 0;
+    for (const survey_answer& answer : m_answers) {
+        if (!answer.status) {
+            silent += answer.server == m_excluded ? 0 : 1;
+        }
+        else if (answer.status->received > received) {
+            return false;
+        }
     }
-    return best;
+    return m_replicas_paused && silent < m_group.sync_replicas;
 }
 
 void coordinator::on_claim_written(call_outcome outcome, time_point now)
@@ -372,6 +440,7 @@
     m_rejected_target.reset();
     m_excluded.clear();
     m_no_target_found = false;
+    m_replica_keeps_up = false;
     m_thin_surveys = 0;
     m_actions.clear();
 }
--- a/packages/promotion/tests/test_coordinator.cpp
+++ b/packages/promotion/tests/test_coordinator.cpp
@@ -41,7 +41,7 @@
     return status;
 }
 
-const std::vector<survey_answer> both_answers{{"r1", status_at(10)}, {"r2", status_at(12)}};
+const survey_result both_answers{{{"r1", status_at(10)}, {"r2", status_at(12)}}, {}};
 
 /// Drives one coordinator; the test provides the store's answers.
 struct coordinator_driver {
@@ -231,7 +231,8 @@
     daemon.collect();
     const auto survey = find_action<survey_replicas>(daemon.actions);
     REQUIRE(survey);
-    CHECK(survey->demote == "p");
+    CHECK(survey->reference == "p");
+    CHECK(survey->demote);
 }
 
 TEST_CASE("with synchronous replicas no target is chosen from too few answers")
@@ -244,11 +245,99 @@
     daemon.subject.on_shared_state(empty_store(), daemon.now);
     daemon.collect();
     CHECK(find_action<survey_replicas>(daemon.actions)->pause);
-    daemon.subject.on_survey({{"r1", status_at(10)}, {"r2", std::nullopt}}, daemon.now);
+    daemon.subject.on_survey({{{"r1", status_at(10)}, {"r2", std::nullopt}}, {}}, daemon.now);
     daemon.collect();
     CHECK(daemon.actions.empty());
 }
 
+TEST_CASE("with synchronous replicas every registered server is asked and must answer")
+{
+    group_state group = healthy_group();
+    group.primary.reset();
+    group.sync_replicas = 1;
+    group.other_members = {"d"};
+    const auto target = [&group](const std::optional<statement::server_status>& draining) {
+        coordinator_driver daemon;
+        daemon.run(group);
+        daemon.subject.on_shared_state(empty_store(), daemon.now);
+        daemon.collect();
+        const auto survey = find_action<survey_replicas>(daemon.actions);
+        CHECK(survey->pause);
+        CHECK(survey->servers == std::vector<std::string>{"r1", "r2", "d"});
+        daemon.subject.on_survey(
+            {{{"r1", status_at(10)}, {"r2", status_at(12)}, {"d", draining}}, {}}, daemon.now);
+        daemon.collect();
+        const auto claim = find_action<write_claim>(daemon.actions);
+        return claim ? claim->next.target : std::string{};
+    };
+    CHECK(target(status_at(15)) == "d");
+    CHECK(target(status_at(12)) == "r2");
+    CHECK(target(status_at(11)) == "r2");
+    CHECK(target(std::nullopt).empty());
+}
+
+TEST_CASE("with synchronous replicas a refused target is not replaced by one that received less")
+{
+    coordinator_driver daemon;
+    group_state group = healthy_group();
+    group.primary.reset();
+    group.sync_replicas = 1;
+    daemon.run(group);
+    daemon.subject.on_shared_state(empty_store(), daemon.now);
+    daemon.subject.on_survey(both_answers, daemon.now);
+    daemon.subject.on_claim_written(call_outcome::done, daemon.now);
+    daemon.collect();
+    CHECK(find_action<order_promotion>(daemon.actions)->target == "r2");
+    daemon.subject.on_order(call_outcome::conflict, daemon.now);
+    daemon.run(group);
+    daemon.subject.on_shared_state(empty_store(), daemon.now);
+    daemon.subject.on_survey(both_answers, daemon.now);
+    daemon.collect();
+    CHECK_FALSE(find_action<write_claim>(daemon.actions));
+}
+
+TEST_CASE("with synchronous replicas a stopped primary's position decides, or else all logs")
+{
+    coordinator_driver daemon;
+    group_state group = healthy_group();
+    group.primary_draining = true;
+    group.sync_replicas = 1;
+    group.other_members = {"d"};
+    const auto next_survey = [&] {
+        daemon.run(group);
+        daemon.subject.on_shared_state(empty_store(), daemon.now);
+        daemon.collect();
+        return find_action<survey_replicas>(daemon.actions);
+    };
+    const auto check = next_survey();
+    CHECK(check->reference == "p");
+    CHECK_FALSE(check->demote);
+    CHECK_FALSE(check->pause);
+    daemon.subject.on_survey({both_answers.answers, log_position{term{3}, 12}}, daemon.now);
+    daemon.collect();
+    const auto survey = find_action<survey_replicas>(daemon.actions);
+    REQUIRE(survey);
+    CHECK(survey->demote);
+    CHECK_FALSE(survey->pause);
+    daemon.subject.on_survey({both_answers.answers, log_position{term{3}, 20}}, daemon.now);
+    daemon.collect();
+    CHECK_FALSE(find_action<write_claim>(daemon.actions));
+
+    // The primary leads no more, so its log is one of those that are compared.
+    group.primary.reset();
+    group.primary_draining = false;
+    group.other_members = {"d", "p"};
+    const auto comparison = next_survey();
+    CHECK(comparison->pause);
+    CHECK(comparison->servers == std::vector<std::string>{"r1", "r2", "d", "p"});
+    daemon.subject.on_survey(
+        {{{"r1", status_at(10)}, {"r2", status_at(12)}, {"d", status_at(12)}, {"p", status_at(20)}},
+         {}},
+        daemon.now);
+    daemon.collect();
+    CHECK(find_action<write_claim>(daemon.actions)->next.target == "p");
+}
+
 TEST_CASE("a primary that answers again ends the promotion")
 {
     coordinator_driver daemon;
@@ -325,7 +414,7 @@
     group_state group = healthy_group();
     group.primary.reset();
     group.replicas = {"r1", "r2", "r3"};
-    const std::vector<survey_answer> one_answer{{"r1", status_at(10)}, {"r2", {}}, {"r3", {}}};
+    const survey_result one_answer{{{"r1", status_at(10)}, {"r2", {}}, {"r3", {}}}, {}};
     for (int survey = 0; survey < 2; ++survey) {
         daemon.run(group);
         daemon.subject.on_shared_state(empty_store(), daemon.now);
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -143,13 +143,14 @@
     time_point avoid_until{};       ///< gets no statements: it had no capacity or failed
 };
 
-/// A survey in progress of the log positions of a group's replicas, before a promotion.
+/// A survey in progress of the log positions of a group's servers, before a promotion.
 struct replica_survey {
     std::vector<promotion::survey_answer> answers;
     std::set<server_id> pending;
     bool pause_replicas{false};
-    std::optional<server_id> demoted;
-    std::optional<log_position> required_position; ///< newest log position of the demoted primary
+    std::optional<server_id> reference; ///< asked first, and demoted if \ref demotes_reference
+    bool demotes_reference{false};
+    std::optional<log_position> required_position; ///< newest log position of the reference
     time_point deadline{};
     time_point next_request_at{};
 };
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -241,6 +241,7 @@
                       time_point now);
     void continue_survey(database_group& group, time_point now);
     bool request_status(database_group& group, backend_server& server, time_point now);
+    [[nodiscard]] bool awaits_reference(const database_group& group, time_point now) const;
     void finish_survey(database_group& group, time_point now);
     void resume_replicas(database_group& group, time_point now);
 
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -20,6 +20,15 @@
 /// one of them was promoted. Covers the claim, the order and the promotion.
 constexpr duration max_replica_pause = 4s;
 
+/// The command that asks a server for its position in \p survey.
+command_kind survey_command(const detail::replica_survey& survey, server_id server)
+{
+    if (survey.reference == server) {
+        return survey.demotes_reference ? command_kind::demote : command_kind::status;
+    }
+    return survey.pause_replicas ? command_kind::pause : command_kind::status;
+}
+
 } // namespace
 
 void proxy::update_promotion(database_group& group, time_point now)
@@ -34,9 +43,11 @@
         state.primary_failing_for = failing;
     }
     for (const directory::server_record* record : m_directory.servers_of(group.service)) {
-        if (record != primary && !record->entry.draining && !record->missing_since) {
-            state.replicas.push_back(record->entry.name);
+        if (record == primary) {
+            continue;
         }
+        const bool ready = !record->entry.draining && !record->missing_since;
+        (ready ? state.replicas : state.other_members).push_back(record->entry.name);
     }
     state.saw_primary = group.saw_primary;
     state.leaderless_for = group.leaderless_since ? now - *group.leaderless_since : duration{0};
@@ -100,8 +111,9 @@
     survey.next_request_at = now;
     for (const directory::server_record* record : m_directory.servers_of(group.service)) {
         const std::string& name = record->entry.name;
-        if (request.demote == name) {
-            survey.demoted = record->id;
+        if (request.reference == name) {
+            survey.reference = record->id;
+            survey.demotes_reference = request.demote;
             survey.pending.insert(record->id);
         }
         if (std::find(request.servers.begin(), request.servers.end(), name) !=
@@ -123,15 +135,12 @@
     }
     const detail::replica_survey& survey = *group.survey;
     statement::server_command command;
-    command.kind = command_kind::status;
-    if (survey.demoted == server.id) {
-        command.kind = command_kind::demote;
-        command.at_term = group.primary_term.next();
-    }
-    else if (survey.pause_replicas) {
+    command.kind = survey_command(survey, server.id);
+    if (command.kind == command_kind::pause) {
         group.paused_replicas.insert(server.id);
         group.resume_at = now + max_replica_pause;
-        command.kind = command_kind::pause;
+    }
+    if (command.kind != command_kind::status) {
         command.at_term = group.primary_term.next();
     }
     connection->phase = connection_phase::surveying;
@@ -148,12 +157,12 @@
     if (now < group.survey->next_request_at) {
         return;
     }
-    // The old primary is demoted first: the position it reports then is what a replica must have.
-    if (const auto demoted = group.survey->demoted;
-        demoted && group.survey->pending.contains(*demoted)) {
-        backend_server* const server = find_server(*demoted);
+    // The reference comes first: the position that it reports is what a replica must have.
+    if (const auto reference = group.survey->reference;
+        reference && group.survey->pending.contains(*reference)) {
+        backend_server* const server = find_server(*reference);
         if (server == nullptr || request_status(group, *server, now)) {
-            group.survey->pending.erase(*demoted);
+            group.survey->pending.erase(*reference);
         }
         if (server != nullptr) {
             return;
@@ -168,6 +177,17 @@
     }
 }
 
+bool proxy::awaits_reference(const database_group& group, time_point now) const
+{
+    const detail::replica_survey& survey = *group.survey;
+    if (!survey.reference || survey.required_position) {
+        return false;
+    }
+    const auto found = m_servers.find(*survey.reference);
+    return found != m_servers.end() &&
+           found->second->health.failing_for(now) < promotion::coordinator::suspicion_delay;
+}
+
 void proxy::on_server_status(server_connection_id id, const statement::server_status& status,
                              time_point now)
 {
@@ -190,11 +210,19 @@
         return;
     }
     detail::replica_survey& survey = *group.survey;
-    if (survey.demoted == server.id) {
+    const command_kind wanted = survey_command(survey, server.id);
+    if (connection->command.kind != wanted) {
+        return; // The answer to an earlier survey.
+    }
+    if (survey.reference == server.id) {
         survey.required_position = status.received;
         return;
     }
-    const bool behind = survey.required_position && status.received < *survey.required_position;
+    // A paused replica receives nothing that is worth waiting for.
+    const bool awaits_position =
+        !survey.pause_replicas && (survey.required_position || awaits_reference(group, now));
+    const bool behind = awaits_position &&
+                        (!survey.required_position || status.received < *survey.required_position);
     for (promotion::survey_answer& replica_answer : survey.answers) {
         if (replica_answer.server == name) {
             replica_answer.status = status;
@@ -209,24 +237,28 @@
                                       [](const promotion::survey_answer& replica_answer) {
                                           return replica_answer.status.has_value();
                                       });
-    if (complete || survey.required_position) {
+    if (complete || awaits_position) {
         finish_survey(group, now);
     }
 }
 
 void proxy::finish_survey(database_group& group, time_point now)
 {
-    const auto answers = std::move(group.survey->answers);
+    const promotion::survey_result survey{std::move(group.survey->answers),
+                                          group.survey->required_position};
+    const bool paused = group.survey->pause_replicas;
     group.survey.reset();
-    for (const promotion::survey_answer& replica_answer : answers) {
+    for (const promotion::survey_answer& replica_answer : survey.answers) {
         log_decision(
             importance::notice, "surveyed a replica", "",
             {{"service", group.service},
              {"server", replica_answer.server},
              {"received",
-              replica_answer.status ? to_string(replica_answer.status->received) : "no answer"}});
+              replica_answer.status ? to_string(replica_answer.status->received) : "no answer"},
+             {"required", survey.required ? to_string(*survey.required) : ""},
+             {"paused", paused ? "true" : "false"}});
     }
-    group.promotion.on_survey(answers, now);
+    group.promotion.on_survey(survey, now);
     run_promotion_actions(group, now);
 }
 
--- a/packages/proxy/tests/test_promotion.cpp
+++ b/packages/proxy/tests/test_promotion.cpp
@@ -81,6 +81,92 @@
     CHECK(last_step<promotion::write_claim>(world)->next.target == "r");
 }
 
+// LOST: the draining replica was not asked for its position, although the primary had counted it
+// when it acknowledged commits.
+TEST_CASE("with synchronous replicas the log of a draining replica is surveyed as well")
+{
+    harness world;
+    world.servers["d"].position.index = 120;
+    world.draining.insert("d");
+    world.configure(1, 1);
+    world.list_servers();
+    const session_id client = world.connect("primary");
+    CHECK(world.ask(client, harness::write())->ok());
+    world.servers["p"].reachable = false;
+    world.reset("p");
+    world.list_servers("p");
+    world.advance_time(directory::server_directory::absence_grace);
+    world.list_servers("p");
+    world.advance_time(800ms);
+    answer_store(world);
+    CHECK_FALSE(world.commands(command_kind::pause, "r").empty());
+    CHECK_FALSE(world.commands(command_kind::pause, "d").empty());
+    const auto claim = last_step<promotion::write_claim>(world);
+    REQUIRE(claim);
+    CHECK(claim->next.target == "d");
+}
+
+// LOST: a replica that was known to lack commits of the stopped primary was promoted after a
+// survey's timeout.
+TEST_CASE("with synchronous replicas a draining primary leads until a replica keeps up with it")
+{
+    harness world;
+    world.configure(1, 1);
+    world.list_servers();
+    const session_id client = world.connect("primary");
+    CHECK(world.ask(client, harness::write())->ok());
+    world.draining.insert("p");
+    world.list_servers();
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        world.advance_time(1s);
+        answer_store(world);
+    }
+    CHECK(world.commands(command_kind::demote, "p").empty());
+    CHECK_FALSE(last_step<promotion::write_claim>(world));
+    CHECK(world.ask(client, harness::write())->ok());
+
+    world.servers["r"].position = world.servers["p"].position;
+    for (int attempt = 0; attempt < 2 && !last_step<promotion::write_claim>(world); ++attempt) {
+        world.advance_time(1s);
+        answer_store(world);
+        world.advance_time(100ms);
+    }
+    CHECK_FALSE(world.commands(command_kind::demote, "p").empty());
+    REQUIRE(last_step<promotion::write_claim>(world));
+    CHECK(last_step<promotion::write_claim>(world)->next.target == "r");
+}
+
+// LOST: replicas that answered before the primary did ended the survey, so that nothing told how
+// far the primary's log went.
+TEST_CASE("a survey waits for the position of the primary that it stops")
+{
+    harness world;
+    world.start();
+    const session_id client = world.connect("primary");
+    CHECK(world.ask(client, harness::write())->ok());
+    world.draining.insert("p");
+    world.list_servers();
+    world.servers["p"].silent = true;
+    world.advance_time(400ms);
+    answer_store(world);
+    world.advance_time(100ms);
+    const auto demotions = world.commands(command_kind::demote, "p");
+    REQUIRE(demotions.size() == 1);
+    CHECK_FALSE(world.commands(command_kind::status, "r").empty());
+    CHECK_FALSE(last_step<promotion::write_claim>(world));
+
+    statement::server_status status;
+    status.known_term = term{1};
+    status.received = world.servers["p"].position;
+    world.proxy_under_test().on_server_status(demotions[0].connection, status, world.now);
+    world.advance_time(100ms);
+    CHECK_FALSE(last_step<promotion::write_claim>(world));
+    world.servers["r"].position = world.servers["p"].position;
+    world.advance_time(100ms);
+    REQUIRE(last_step<promotion::write_claim>(world));
+    CHECK(last_step<promotion::write_claim>(world)->next.target == "r");
+}
+
 TEST_CASE("a frozen process does not suspect the primary for the time it was suspended")
 {
     harness world;
