Repeat a survey's command whose term was too low to have an effect (LOST)

Cause: DEMOTE and PAUSE take effect only with a term above the newest one that the server knows. A daemon that has run nothing of a group knows no term, sends term 1, and took the status in the answer for the effect.

Change: an answer whose term is not below the command's makes the survey send the command once more, with a term above it. Once is enough: the second command's term is above what the server reported before it.

Ruled out: reading the granted term from the status (a primary reports none); learning the term by a status command first (a round trip for every survey).

Tests: before the change "a daemon that does not know a group's term stops its draining primary all the same" and "... pauses its replicas all the same" failed (the primary still led; the replica was not paused). The harness's servers ignore commands of a term that they know already, as the platform's do.

--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -147,6 +147,7 @@
 struct replica_survey {
     std::vector<promotion::survey_answer> answers;
     std::set<server_id> pending;
+    std::set<server_id> repeated; ///< asked again, since the first command's term was too low
     bool pause_replicas{false};
     std::optional<server_id> reference; ///< asked first, and demoted if \ref demotes_reference
     bool demotes_reference{false};
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -29,6 +29,13 @@
     return survey.pause_replicas ? command_kind::pause : command_kind::status;
 }
 
+/// Whether a server that answered with \p status may have ignored a command whose term was not
+/// above the newest one that it knew.
+bool had_no_effect(const statement::server_command& command, const statement::server_status& status)
+{
+    return command.kind != command_kind::status && command.at_term <= status.known_term;
+}
+
 } // namespace
 
 void proxy::update_promotion(database_group& group, time_point now)
@@ -214,6 +221,11 @@
     if (connection->command.kind != wanted) {
         return; // The answer to an earlier survey.
     }
+    if (had_no_effect(connection->command, status) && survey.repeated.insert(server.id).second) {
+        survey.pending.insert(server.id);
+        survey.next_request_at = now;
+        return;
+    }
     if (survey.reference == server.id) {
         survey.required_position = status.received;
         return;
--- a/packages/proxy/tests/harness.h
+++ b/packages/proxy/tests/harness.h
@@ -26,6 +26,7 @@
     bool primary{false};
     bool reachable{true};
     bool silent{false}; ///< accepts commands and never answers
+    bool paused{false}; ///< stopped receiving the log
     std::string service{"ledger"};
     log_position position{term{1}, 100};
     std::size_t begun{0};  ///< transactions begun
@@ -327,7 +328,12 @@
         }
         if (next.command.kind == command_kind::status ||
             next.command.kind == command_kind::demote || next.command.kind == command_kind::pause) {
-            server.primary = server.primary && next.command.kind != command_kind::demote;
+            // A command of a term that is not above the server's newest one has no effect.
+            const bool takes_effect = next.command.at_term > server.position.entry_term;
+            server.primary =
+                server.primary && (next.command.kind != command_kind::demote || !takes_effect);
+            server.paused =
+                server.paused || (next.command.kind == command_kind::pause && takes_effect);
             statement::server_status status;
             status.is_primary = server.primary;
             status.known_term = server.position.entry_term;
--- a/packages/proxy/tests/test_promotion.cpp
+++ b/packages/proxy/tests/test_promotion.cpp
@@ -167,6 +167,43 @@
     CHECK(last_step<promotion::write_claim>(world)->next.target == "r");
 }
 
+// LOST: a daemon that had run nothing of a group did not know its term. Its command to stop the
+// primary had no effect, and the answer to it was taken for the end of the primary's log.
+TEST_CASE("a daemon that does not know a group's term stops its draining primary all the same")
+{
+    harness world;
+    world.servers["p"].position = {term{4}, 100};
+    world.servers["r"].position = {term{4}, 100};
+    world.start();
+    world.draining.insert("p");
+    world.list_servers();
+    world.advance_time(400ms);
+    answer_store(world);
+    world.advance_time(100ms);
+    CHECK_FALSE(world.servers["p"].primary);
+    REQUIRE(last_step<promotion::write_claim>(world));
+}
+
+// LOST: as above, for the command that stops replicas from receiving the log during a survey.
+TEST_CASE("a daemon that does not know a group's term pauses its replicas all the same")
+{
+    harness world;
+    world.servers["p"].position = {term{4}, 100};
+    world.servers["r"].position = {term{4}, 100};
+    world.configure(1, 1);
+    world.list_servers();
+    world.servers["p"].reachable = false;
+    world.reset("p");
+    world.list_servers("p");
+    world.advance_time(directory::server_directory::absence_grace);
+    world.list_servers("p");
+    world.advance_time(800ms);
+    answer_store(world);
+    world.advance_time(100ms);
+    CHECK(world.servers["r"].paused);
+    REQUIRE(last_step<promotion::write_claim>(world));
+}
+
 TEST_CASE("a frozen process does not suspect the primary for the time it was suspended")
 {
     harness world;
