--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -180,6 +180,9 @@
     run_client_starts();
     m_forwarder.on_tick(now);
     run_actions();
+    if (m_stop_deadline && now >= *m_stop_deadline) {
+        m_forwarder.end_shutdown();
+    }
     if (m_stop_deadline &&
         ((m_sessions_ended && m_forwarder.session_count() == 0) || now >= *m_stop_deadline)) {
         log().info("stopped: no client is connected any more, or the grace period has ended");
@@ -338,7 +341,7 @@
         reload();
         return;
     }
-    log().info("shutting down: waiting for open transactions, closing idle sessions gradually",
+    log().info("shutting down: waiting for open transactions, closing sessions gradually",
                {{"signal", static_cast<std::int64_t>(number)}});
     const time_point now = boot_now();
     if (!m_stop_deadline) {
@@ -346,7 +349,7 @@
     }
     m_forwarding_listener.stop_listening();
     m_store_view.begin_shutdown();
-    m_forwarder.begin_shutdown(now);
+    m_forwarder.begin_shutdown(now, m_settings.shutdown_grace);
     m_proxy.begin_shutdown(now);
     run_actions();
 }
--- a/packages/edge/src/session_forwarder.cpp
+++ b/packages/edge/src/session_forwarder.cpp
@@ -47,6 +47,9 @@
     entry->home_order = m_homes.forwarding_order(request.service, request.max_connections,
                                                  m_next_turn++, boot_now());
     entry->request = std::move(request);
+    if (m_shutdown_at) {
+        entry->close_time = *m_shutdown_at + proxy::session_close_window;
+    }
     m_sessions.emplace(id, std::move(entry));
     m_clients.set_line_handler(id,
                                [this, id](const std::string& line) { on_client_line(id, line); });
@@ -108,8 +111,9 @@
         end_session(id);
         return;
     }
+    session.last_used = boot_now();
     session.tracker.on_statement(std::get<adapter::statement_message>(message.value()).request,
-                                 boot_now());
+                                 session.last_used);
     const std::string bytes = line + "\r\n";
     session.socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
     session.socket->flush();
@@ -123,6 +127,7 @@
     }
     const QByteArray bytes = found->second->socket->readAll();
     found->second->splitter.feed({bytes.data(), static_cast<std::size_t>(bytes.size())});
+    const bool was_waiting = found->second->tracker.is_waiting();
     std::string client_lines;
     bool ended = false;
     while (!ended) {
@@ -135,8 +140,15 @@
             client_lines += *line.value() + "\r\n";
         }
     }
-    if (!ended && !client_lines.empty()) {
-        m_clients.write(id, client_lines);
+    if (ended || client_lines.empty()) {
+        return;
+    }
+    found->second->last_used = boot_now();
+    m_clients.write(id, client_lines);
+    // A client sends its next statement after an answer, so that none is on its way now.
+    found = m_sessions.find(id);
+    if (was_waiting && found != m_sessions.end() && may_close(*found->second, boot_now())) {
+        end_session(id);
     }
 }
 
@@ -173,13 +185,26 @@
         try_next_home(id);
         return;
     }
-    if (const auto answer = session.tracker.answer_for_lost_home()) {
+    // The session's values and prepared statements are lost with the home.
+    answer_and_end(id);
+}
+
+void session_forwarder::answer_and_end(session_id id)
+{
+    if (const auto answer = m_sessions.at(id)->tracker.answer_for_lost_home()) {
         m_clients.send_answer(id, *answer);
     }
-    // The session's values and prepared statements are lost with the home.
     end_session(id);
 }
 
+bool session_forwarder::may_close(const session_entry& session, time_point now) const
+{
+    if (!m_shutdown_at || !session.started || session.tracker.is_waiting()) {
+        return false;
+    }
+    return now >= (session.tracker.is_idle() ? session.close_time : m_transactions_end);
+}
+
 void session_forwarder::on_client_closed(session_id id)
 {
     const auto found = m_sessions.find(id);
@@ -220,7 +245,8 @@
         if (overdue) {
             timed_out.push_back(id);
         }
-        else if (m_shutting_down && session->tracker.is_idle() && now >= session->close_time) {
+        else if (may_close(*session, now) &&
+                 now - session->last_used >= proxy::min_idle_before_close) {
             closing.push_back(id);
         }
     }
@@ -234,18 +260,34 @@
 
 duration session_forwarder::tick_interval() const
 {
-    if (m_shutting_down) {
+    if (m_shutdown_at) {
         return shutdown_tick_interval;
     }
     return m_sessions.empty() ? duration::max() : usual_tick_interval;
 }
 
-void session_forwarder::begin_shutdown(time_point now)
+void session_forwarder::begin_shutdown(time_point now, duration grace)
 {
-    m_shutting_down = true;
+    if (m_shutdown_at) {
+        return;
+    }
+    m_shutdown_at = now;
+    m_transactions_end = now + grace / 2;
     for (const auto& [id, session] : m_sessions) {
         session->close_time = now + m_random.between(duration{0}, proxy::session_close_window);
     }
 }
 
+void session_forwarder::end_shutdown()
+{
+    while (!m_sessions.empty()) {
+        const auto& [id, session] = *m_sessions.begin();
+        if (session->tracker.is_waiting()) {
+            log().warn("ended a statement that had no answer: the process stops",
+                       {{"session", id.value()}, {"home", session->home}});
+        }
+        answer_and_end(id);
+    }
+}
+
 } // namespace gypsumstep::edge
--- a/packages/edge/src/session_forwarder.h
+++ b/packages/edge/src/session_forwarder.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,9 +47,13 @@
     /// Returns the longest time until the next call of on_tick().
     [[nodiscard]] duration tick_interval() const;
 
-    /// Starts to close sessions: each one once it is idle, after a random delay of at most
-    /// proxy::session_close_window.
-    void begin_shutdown(time_point now);
+    /// Starts to close sessions, each after a random delay of at most proxy::session_close_window:
+    /// idle ones, and busy ones with an answer. Open transactions may end within half of
+    /// \p grace, the time until the process would be killed.
+    void begin_shutdown(time_point now, duration grace);
+
+    /// Answers the statements that the homes have not answered yet and closes all sessions.
+    void end_shutdown();
 
     [[nodiscard]] std::size_t session_count() const { return m_sessions.size(); }
 
@@ -63,7 +68,8 @@
         homes::forwarded_session tracker;
         bool started{false};         ///< a home has accepted the session
         time_point start_deadline{}; ///< for the current home to accept the session
-        time_point close_time{};     ///< during a shutdown: when to close the session if idle
+        time_point last_used{};      ///< when its client or its home last sent something
+        time_point close_time{};     ///< during a shutdown: closed from then on, once it may be
     };
 
     void try_next_home(session_id id);
@@ -72,6 +78,8 @@
     /// Handles a line from the home; true if the home refused the session and was given up.
     bool on_home_line(session_id id, session_entry& session, const std::string& line);
     void on_home_failed(session_id id, const std::string& cause);
+    [[nodiscard]] bool may_close(const session_entry& session, time_point now) const;
+    void answer_and_end(session_id id);
     void end_session(session_id id);
     void close_home_socket(session_entry& session);
 
@@ -80,7 +88,8 @@
     random_source m_random;
     std::map<session_id, std::unique_ptr<session_entry>> m_sessions;
     std::uint64_t m_next_turn; ///< spreads sessions over homes that are equally near
-    bool m_shutting_down{false};
+    std::optional<time_point> m_shutdown_at;
+    time_point m_transactions_end{}; ///< during a shutdown: open transactions are closed then
 };
 
 } // namespace gypsumstep::edge
--- a/packages/edge/tests/test_session_forwarder.cpp
+++ b/packages/edge/tests/test_session_forwarder.cpp
@@ -153,7 +153,7 @@
     forwarding_daemon daemon;
     daemon.start();
     daemon.send("QUERY 1 READ a\r\n");
-    daemon.forwarder.begin_shutdown(boot_now());
+    daemon.forwarder.begin_shutdown(boot_now(), 6s);
     daemon.forwarder.on_tick(boot_now() + 1s);
     CHECK(daemon.forwarder.session_count() == 1);
     daemon.home.answer("DONE 7.1\r\nREADY I 1.5\r\n");
@@ -162,6 +162,54 @@
     CHECK(daemon.forwarder.session_count() == 0);
 }
 
+// LOST: a session that never rested was open until the process ended.
+TEST_CASE("a shutdown closes a busy forwarded session with an answer, after its time")
+{
+    application();
+    forwarding_daemon daemon;
+    daemon.start();
+    daemon.forwarder.begin_shutdown(boot_now() - 2s, 6s);
+    daemon.send("QUERY 1 READ a\r\n");
+    daemon.home.answer("DONE 7.1\r\nREADY I 1.5\r\n");
+    REQUIRE(run_until([&] { return !daemon.client_received.empty(); }));
+    CHECK(daemon.forwarder.session_count() == 0);
+    CHECK(run_until([&] { return daemon.client.state() == QAbstractSocket::UnconnectedState; }));
+    CHECK(daemon.client_received == "DONE 7.1\r\nREADY I 1.5\r\n");
+}
+
+// LOST: as above, for a transaction that was busy whenever it was looked at.
+TEST_CASE("a shutdown closes a busy forwarded transaction after half of the grace period")
+{
+    application();
+    forwarding_daemon daemon;
+    daemon.start();
+    daemon.forwarder.begin_shutdown(boot_now() - 2s, 6s);
+    daemon.send("QUERY 1 BEGIN\r\n");
+    daemon.home.answer("DONE -\r\nREADY T 1.5\r\n");
+    REQUIRE(run_until([&] { return !daemon.client_received.empty(); }));
+    daemon.forwarder.on_tick(boot_now() + 900ms);
+    CHECK(daemon.forwarder.session_count() == 1);
+    daemon.forwarder.on_tick(boot_now() + 1s);
+    CHECK(daemon.forwarder.session_count() == 0);
+}
+
+// LOST: the process ended without an answer to what the homes had not answered.
+TEST_CASE("a forwarded statement without an answer gets an error at the end of a shutdown")
+{
+    application();
+    for (const bool write : {false, true}) {
+        CAPTURE(write);
+        forwarding_daemon daemon;
+        daemon.start();
+        daemon.send(write ? "QUERY 1 WRITE a b\r\n" : "QUERY 1 READ a\r\n");
+        daemon.forwarder.begin_shutdown(boot_now(), 6s);
+        daemon.forwarder.end_shutdown();
+        CHECK(daemon.forwarder.session_count() == 0);
+        const std::string code = write ? "ERROR UNKNOWN" : "ERROR ABORTED";
+        CHECK(run_until([&] { return daemon.client_received.starts_with(code); }));
+    }
+}
+
 TEST_CASE("a session that no home accepts is refused as busy and not run")
 {
     application();
--- a/packages/homes/include/gypsumstep/homes/forwarded_session.h
+++ b/packages/homes/include/gypsumstep/homes/forwarded_session.h
@@ -29,6 +29,9 @@
         return m_pending.empty() && m_state == statement::transaction_state::idle;
     }
 
+    /// Returns true if the client waits for an answer.
+    [[nodiscard]] bool is_waiting() const { return !m_pending.empty(); }
+
     /// Returns how long the oldest unanswered statement has waited; 0 if there is none.
     [[nodiscard]] duration oldest_wait(time_point now) const;
 
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -91,7 +91,7 @@
     task_ptr running;
     std::deque<statement::statement> pipelined;
     time_point idle_since{};
-    time_point close_at{}; ///< when a shutdown closes the session
+    time_point close_at{}; ///< during a shutdown: closed from then on, once it may be
 };
 
 /// What a server connection is doing.
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -21,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace gypsumstep::proxy {
@@ -111,7 +112,8 @@
     [[nodiscard]] duration tick_interval() const;
 
     /// Starts the shutdown: ready() becomes false, open transactions may end within half of the
-    /// grace period, and idle sessions are closed gradually.
+    /// grace period, and sessions are closed gradually: idle ones, and busy ones with an answer.
+    /// What has no answer at the end of the grace period is answered with an error.
     void begin_shutdown(time_point now);
 
     /// Returns true if the proxy can serve new clients.
@@ -159,6 +161,7 @@
     [[nodiscard]] statement::transaction_state
     transaction_state_of(const client_session& session) const;
     void abandon_task(const task_ptr& work);
+    [[nodiscard]] static bool may_have_committed(const task& work, const client_session& owner);
 
     // Choosing servers: dispatching.cpp.
     void dispatch(database_group& group, time_point now);
@@ -278,7 +281,16 @@
     [[nodiscard]] bool is_failing(const database_group& group, time_point now) const;
     void request_tick(tick_need need);
     void keep_primary_connected(database_group& group, time_point now);
+
+    // Shutdown: shutdown.cpp.
     void continue_shutdown(time_point now);
+    [[nodiscard]] bool may_close(const client_session& session, time_point now) const;
+    [[nodiscard]] bool refuses_transactions(time_point now) const;
+    [[nodiscard]] bool refuses_statements(time_point now) const;
+    void refuse_in_shutdown(client_session& session, time_point now);
+    void close_when_answered(session_id id, time_point now);
+    void close_answered_sessions();
+    void answer_running_statement(client_session& session, time_point now);
 
     // Reporting: reporting.cpp.
     void log_decision(importance level, const char* message, const std::string& request,
@@ -317,6 +329,9 @@
     tick_need m_tick_need{tick_need::soon};
     std::optional<time_point> m_shutdown_at;
     bool m_shutdown_reported{false};
+    /// Sessions that a shutdown may close with their last answer, and when it was given. They are
+    /// closed once the event that answered them has been handled.
+    std::vector<std::pair<session_id, time_point>> m_answered_sessions;
     std::vector<action> m_actions;
 };
 
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -37,6 +37,9 @@
     auto session = std::make_unique<client_session>();
     session->id = id;
     session->idle_since = now;
+    if (m_shutdown_at) {
+        session->close_at = *m_shutdown_at + session_close_window;
+    }
     m_sessions.emplace(id, std::move(session));
 }
 
@@ -133,6 +136,10 @@
     switch (request.kind) {
     case verb::begin:
     case verb::begin_read_only:
+        if (refuses_transactions(now)) {
+            refuse_in_shutdown(session, now);
+            return;
+        }
         begin_transaction(session, request, request.kind == verb::begin_read_only);
         return;
     case verb::set:
@@ -220,6 +227,10 @@
 void proxy::run_statement(client_session& session, const statement::statement& request,
                           time_point now)
 {
+    if (!session.open_transaction && refuses_statements(now)) {
+        refuse_in_shutdown(session, now);
+        return;
+    }
     const directory::route* const route = session.open_transaction
                                               ? &session.open_transaction->route
                                               : m_routes.find(session.database);
@@ -364,6 +375,14 @@
     connection->transaction_owner.reset();
 }
 
+bool proxy::may_have_committed(const task& work, const client_session& owner)
+{
+    if (!work.sent) {
+        return false;
+    }
+    return owner.open_transaction ? work.is_commit && owner.open_transaction->wrote : !work.is_read;
+}
+
 statement::transaction_state proxy::transaction_state_of(const client_session& session) const
 {
     if (!session.open_transaction) {
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -50,6 +50,7 @@
 
 std::vector<action> proxy::take_actions()
 {
+    close_answered_sessions();
     return std::exchange(m_actions, {});
 }
 
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -415,9 +415,7 @@
                   {"server", name_of(lost_server)},
                   {"cause", cause},
                   {"sent_us_ago", std::to_string((now - work->sent_at).count())}});
-    const bool wrote =
-        work->sent && (owner->open_transaction ? work->is_commit && owner->open_transaction->wrote
-                                               : !work->is_read);
+    const bool wrote = may_have_committed(*work, *owner);
     if (!owner->open_transaction && work->is_read && !timed_out) {
         work->avoided_servers.insert(lost_server);
         requeue(work, duration{0}, now);
--- a/packages/proxy/src/timers.cpp
+++ b/packages/proxy/src/timers.cpp
@@ -1,4 +1,4 @@
-// Periodic work: timeouts, retries, hedged reads, promotions, shutdown.
+// Periodic work: timeouts, retries, hedged reads, promotions.
 #include "gypsumstep/proxy/proxy.h"
 
 #include <algorithm>
@@ -20,18 +20,12 @@
 constexpr int hedge_multiple = 6;
 constexpr duration min_hedge_delay = 300ms;
 
-/// A shutdown closes a session only after it was idle for this time.
-constexpr duration min_idle_before_close = 100ms;
-
 /// Intervals between ticks: while a statement waits for a server or a promotion runs, while
 /// commands are in progress, and otherwise.
 constexpr duration shortest_tick_interval = 20ms;
 constexpr duration running_tick_interval = 100ms;
 constexpr duration idle_tick_interval = 250ms;
 
-/// The shutdown completes this long before the process would be killed.
-constexpr duration shutdown_margin = 300ms;
-
 } // namespace
 
 void proxy::on_tick(time_point now)
@@ -264,47 +258,4 @@
     roll_back(connection, now);
 }
 
-void proxy::begin_shutdown(time_point now)
-{
-    if (m_shutdown_at) {
-        return;
-    }
-    m_shutdown_at = now;
-    request_tick(tick_need::soon);
-    for (auto& [id, session] : m_sessions) {
-        session->close_at = now + m_random.between(duration{0}, session_close_window);
-    }
-}
-
-void proxy::continue_shutdown(time_point now)
-{
-    const duration passed = now - *m_shutdown_at;
-    const bool transactions_over = passed >= m_options.shutdown_grace / 2;
-    std::vector<session_id> closing;
-    for (auto& [id, session] : m_sessions) {
-        if (session->running) {
-            continue;
-        }
-        if (session->open_transaction && transactions_over) {
-            closing.push_back(id);
-            continue;
-        }
-        const bool due = session->close_at == time_point{} ? passed >= session_close_window
-                                                           : now >= session->close_at;
-        if (!session->open_transaction && due &&
-            now - session->idle_since >= min_idle_before_close) {
-            closing.push_back(id);
-        }
-    }
-    for (const session_id id : closing) {
-        emit(close_session{id});
-        on_client_closed(id, now);
-    }
-    const bool over = passed >= m_options.shutdown_grace - shutdown_margin;
-    if (!m_shutdown_reported && ((m_sessions.empty() && passed >= session_close_window) || over)) {
-        m_shutdown_reported = true;
-        emit(shutdown_complete{});
-    }
-}
-
 } // namespace gypsumstep::proxy
--- a/packages/proxy/tests/harness.h
+++ b/packages/proxy/tests/harness.h
@@ -71,7 +71,7 @@
             route.database = name;
             route.service = service;
             route.read_consistency = reads;
-            route.statement_timeout = 1s;
+            route.statement_timeout = statement_timeout;
             route.priority = rank;
             route.max_staleness =
                 reads == directory::consistency::primary ? duration{0} : duration{1500ms};
@@ -262,6 +262,7 @@
     /// If set and it returns an answer, that answer replaces the fake server's own.
     std::function<std::optional<statement::answer>(const received_command&)> script;
 
+    duration statement_timeout{1s}; ///< of the routes of the next configuration
     std::map<std::string, fake_server> servers;
     std::set<std::string> draining;
     std::map<session_id, statement::answer> answers;
