--- a/packages/edge/src/store_reader.cpp
+++ b/packages/edge/src/store_reader.cpp
@@ -11,10 +11,10 @@
 namespace gypsumstep::edge {
 namespace {
 
-/// How long the store is asked to hold a feed request until something changes; it holds it for
-/// 30 s at most. Long, because each store call costs money; keep-alive probes detect a dead
-/// connection earlier.
-constexpr duration feed_wait = 28s;
+/// How long the store is asked to hold a feed request until something changes. With the time for the
+/// answer, it limits how long a connection that went silent hides a new configuration: keep-alive
+/// probes do not show it while something on the way still acknowledges them.
+constexpr duration feed_wait = 2500ms;
 
 /// Time beyond feed_wait for the answer to arrive.
 constexpr duration feed_answer_margin = 1500ms;
--- a/packages/edge/tests/test_store_view.cpp
+++ b/packages/edge/tests/test_store_view.cpp
@@ -210,6 +210,20 @@
     CHECK(here[5].view->reads_store());
 }
 
+// CONFIG: a connection that went silent hid configurations until the feed's call timed out after
+// half a minute. run() waits for 5 s, after which a daemon has to know what the store holds.
+TEST_CASE("a configuration is known soon after the connections to the store went silent")
+{
+    site here{6};
+    here[0].start();
+    here[5].start();
+    REQUIRE(here.run([&] { return here[0].knows(1) && here[5].knows(1); }));
+    REQUIRE_FALSE(here[5].view->reads_store());
+    here.store.silence_open_connections();
+    here.configure(2);
+    CHECK(here.run([&] { return here[0].knows(2) && here[5].knows(2); }));
+}
+
 TEST_CASE("a reader that shuts down is left before it ends")
 {
     site here{6};
