Serve clients that connect late in a shutdown to their end (LOST)

Cause: the proxy reports once that its sessions have ended, and the process ends as soon as the forwarder has none either. A client that connects in between, while a forwarded transaction is still open, was cut off with its request at a server, and the answers at the end of the grace period were given only if the report had not been made before.

Change: the process ends early only if no session is there at that moment, and what has no answer at the end is answered whether or not the report was made.

Test: before the change "a session that connects after the last one was closed is served to its end as well" failed (no answer).

--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -183,8 +183,9 @@
     if (m_stop_deadline && now >= *m_stop_deadline) {
         m_forwarder.end_shutdown();
     }
-    if (m_stop_deadline &&
-        ((m_sessions_ended && m_forwarder.session_count() == 0) || now >= *m_stop_deadline)) {
+    const bool unused =
+        m_sessions_ended && !m_proxy.has_sessions() && m_forwarder.session_count() == 0;
+    if (m_stop_deadline && (unused || now >= *m_stop_deadline)) {
         log().info("stopped: no client is connected any more, or the grace period has ended");
         QCoreApplication::quit();
     }
--- a/packages/edge/src/store_reader.cpp
+++ b/packages/edge/src/store_reader.cpp
@@ -11,9 +11,9 @@
 namespace gypsumstep::edge {
 namespace {
 
-/// How long the store is asked to hold a feed request until something changes. With the time for the
-/// answer, it limits how long a connection that went silent hides a new configuration: keep-alive
-/// probes do not show it while something on the way still acknowledges them.
+/// How long the store is asked to hold a feed request until something changes. With the time for
+/// the answer, it limits how long a connection that went silent hides a new configuration:
+/// keep-alive probes do not show it while something on the way still acknowledges them.
 constexpr duration feed_wait = 2500ms;
 
 /// Time beyond feed_wait for the answer to arrive.
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -125,6 +125,9 @@
     /// Returns the pending actions, to be carried out in order, and clears them.
     [[nodiscard]] std::vector<action> take_actions();
 
+    /// Returns true if clients are connected. New ones may connect even after shutdown_complete.
+    [[nodiscard]] bool has_sessions() const { return !m_sessions.empty(); }
+
     [[nodiscard]] proxy_gauges gauges() const;
     [[nodiscard]] const directory::route_table& routes() const { return m_routes; }
 
--- a/packages/proxy/src/shutdown.cpp
+++ b/packages/proxy/src/shutdown.cpp
@@ -92,7 +92,7 @@
         emit(close_session{id});
         on_client_closed(id, now);
     }
-    if (over && !m_shutdown_reported) {
+    if (over) {
         for (const session_id id : unanswered) {
             if (client_session* const session = find_session(id);
                 session != nullptr && session->running) {
--- a/packages/proxy/tests/test_shutdown.cpp
+++ b/packages/proxy/tests/test_shutdown.cpp
@@ -160,6 +160,26 @@
     }
 }
 
+// LOST: a process that waited for other work after its last session had ended cut off a session
+// that had connected meanwhile.
+TEST_CASE("a session that connects after the last one was closed is served to its end as well")
+{
+    harness world;
+    world.statement_timeout = 5s;
+    world.start();
+    world.proxy_under_test().begin_shutdown(world.now);
+    world.advance_time(2100ms);
+    CHECK(world.stopped);
+    CHECK_FALSE(world.proxy_under_test().has_sessions());
+    const session_id client = world.connect("primary");
+    world.send_to_silent("p", client, harness::write());
+    CHECK(world.proxy_under_test().has_sessions());
+    world.advance_time(3700ms);
+    REQUIRE(world.answer_of(client));
+    CHECK(world.answer_of(client)->error == error_class::outcome_unknown);
+    CHECK_FALSE(world.proxy_under_test().has_sessions());
+}
+
 TEST_CASE("a shutdown refuses at once what could not end any more")
 {
     harness world;
