Share the times of a shutdown between the proxy and the forwarder

Cause: the two closed sessions by times of their own, and the forwarder passed on transactions and statements that the proxy refuses because they cannot end any more. Statements that a client had sent ahead got no answer at the end.

Change: shutdown_schedule holds the times. The forwarder refuses what could not end any more, too, and answers what is left at the same moment as the proxy. Statements that were sent ahead are refused in their turn. Each refusal has a log line with the request's id.

--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -180,12 +180,9 @@
     run_client_starts();
     m_forwarder.on_tick(now);
     run_actions();
-    if (m_stop_deadline && now >= *m_stop_deadline) {
-        m_forwarder.end_shutdown();
-    }
-    const bool unused =
+    const bool sessions_ended =
         m_sessions_ended && !m_proxy.has_sessions() && m_forwarder.session_count() == 0;
-    if (m_stop_deadline && (unused || now >= *m_stop_deadline)) {
+    if (m_stop_deadline && (sessions_ended || now >= *m_stop_deadline)) {
         log().info("stopped: no client is connected any more, or the grace period has ended");
         QCoreApplication::quit();
     }
@@ -350,7 +347,7 @@
     }
     m_forwarding_listener.stop_listening();
     m_store_view.begin_shutdown();
-    m_forwarder.begin_shutdown(now, m_settings.shutdown_grace);
+    m_forwarder.begin_shutdown({now, m_settings.shutdown_grace}, now);
     m_proxy.begin_shutdown(now);
     run_actions();
 }
--- a/packages/edge/src/session_forwarder.cpp
+++ b/packages/edge/src/session_forwarder.cpp
@@ -4,7 +4,6 @@
 #include "socket_options.h"
 
 #include "gypsumstep/logging/logging.h"
-#include "gypsumstep/proxy/options.h"
 
 #include <QHostAddress>
 
@@ -47,8 +46,8 @@
     entry->home_order = m_homes.forwarding_order(request.service, request.max_connections,
                                                  m_next_turn++, boot_now());
     entry->request = std::move(request);
-    if (m_shutdown_at) {
-        entry->close_time = *m_shutdown_at + proxy::session_close_window;
+    if (m_shutdown) {
+        entry->close_time = m_shutdown->close_window_end();
     }
     m_sessions.emplace(id, std::move(entry));
     m_clients.set_line_handler(id,
@@ -111,9 +110,21 @@
         end_session(id);
         return;
     }
+    const auto& request = std::get<adapter::statement_message>(message.value()).request;
     session.last_used = boot_now();
-    session.tracker.on_statement(std::get<adapter::statement_message>(message.value()).request,
-                                 session.last_used);
+    if (refuses(session, request.kind, session.last_used)) {
+        log().warn("refused a statement: the process stops",
+                   {{"session", id.value()},
+                    {"request_id", std::string_view{request.id}},
+                    {"statement", statement::to_string(request.kind)}});
+        statement::answer answer;
+        answer.error = statement::error_class::busy;
+        answer.error_text = "this daemon shuts down; reconnect";
+        m_clients.send_answer(id, answer);
+        end_session(id);
+        return;
+    }
+    session.tracker.on_statement(request, session.last_used);
     const std::string bytes = line + "\r\n";
     session.socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
     session.socket->flush();
@@ -199,10 +210,21 @@
 
 bool session_forwarder::may_close(const session_entry& session, time_point now) const
 {
-    if (!m_shutdown_at || !session.started || session.tracker.is_waiting()) {
+    if (!m_shutdown || !session.started || session.tracker.is_waiting()) {
+        return false;
+    }
+    return session.tracker.is_idle() ? now >= session.close_time
+                                     : m_shutdown->ends_transactions(now);
+}
+
+bool session_forwarder::refuses(const session_entry& session, statement::verb kind,
+                                time_point now) const
+{
+    if (!m_shutdown || !session.tracker.is_idle()) {
         return false;
     }
-    return now >= (session.tracker.is_idle() ? session.close_time : m_transactions_end);
+    const bool begins = kind == statement::verb::begin || kind == statement::verb::begin_read_only;
+    return begins ? m_shutdown->ends_transactions(now) : m_shutdown->refuses_statements(now);
 }
 
 void session_forwarder::on_client_closed(session_id id)
@@ -237,6 +259,8 @@
 {
     std::vector<session_id> timed_out;
     std::vector<session_id> closing;
+    std::vector<session_id> unanswered;
+    const bool over = m_shutdown && m_shutdown->is_over(now);
     for (const auto& [id, session] : m_sessions) {
         const bool overdue = session->started
                                  ? session->tracker.oldest_wait(now) >
@@ -245,6 +269,9 @@
         if (overdue) {
             timed_out.push_back(id);
         }
+        else if (over) {
+            unanswered.push_back(id);
+        }
         else if (may_close(*session, now) &&
                  now - session->last_used >= proxy::min_idle_before_close) {
             closing.push_back(id);
@@ -256,38 +283,33 @@
     for (const session_id id : closing) {
         end_session(id);
     }
+    for (const session_id id : unanswered) {
+        const session_entry& session = *m_sessions.at(id);
+        log().warn("ended a session at the end of a shutdown",
+                   {{"session", id.value()},
+                    {"home", session.home},
+                    {"waiting", session.tracker.is_waiting()}});
+        answer_and_end(id);
+    }
 }
 
 duration session_forwarder::tick_interval() const
 {
-    if (m_shutdown_at) {
+    if (m_shutdown) {
         return shutdown_tick_interval;
     }
     return m_sessions.empty() ? duration::max() : usual_tick_interval;
 }
 
-void session_forwarder::begin_shutdown(time_point now, duration grace)
+void session_forwarder::begin_shutdown(const proxy::shutdown_schedule& schedule, time_point now)
 {
-    if (m_shutdown_at) {
+    if (m_shutdown) {
         return;
     }
-    m_shutdown_at = now;
-    m_transactions_end = now + grace / 2;
+    m_shutdown = schedule;
     for (const auto& [id, session] : m_sessions) {
         session->close_time = now + m_random.between(duration{0}, proxy::session_close_window);
     }
 }
 
-void session_forwarder::end_shutdown()
-{
-    while (!m_sessions.empty()) {
-        const auto& [id, session] = *m_sessions.begin();
-        if (session->tracker.is_waiting()) {
-            log().warn("ended a statement that had no answer: the process stops",
-                       {{"session", id.value()}, {"home", session->home}});
-        }
-        answer_and_end(id);
-    }
-}
-
 } // namespace gypsumstep::edge
--- a/packages/edge/src/session_forwarder.h
+++ b/packages/edge/src/session_forwarder.h
@@ -7,6 +7,7 @@
 #include "gypsumstep/base/random.h"
 #include "gypsumstep/homes/forwarded_session.h"
 #include "gypsumstep/homes/home_table.h"
+#include "gypsumstep/proxy/shutdown_schedule.h"
 
 #include <QTcpSocket>
 #include <QTimer>
@@ -48,12 +49,9 @@
     [[nodiscard]] duration tick_interval() const;
 
     /// Starts to close sessions, each after a random delay of at most proxy::session_close_window:
-    /// idle ones, and busy ones with an answer. Open transactions may end within half of
-    /// \p grace, the time until the process would be killed.
-    void begin_shutdown(time_point now, duration grace);
-
-    /// Answers the statements that the homes have not answered yet and closes all sessions.
-    void end_shutdown();
+    /// idle ones, and busy ones with an answer. At the end of the shutdown, statements that the
+    /// homes have not answered are answered with an error.
+    void begin_shutdown(const proxy::shutdown_schedule& schedule, time_point now);
 
     [[nodiscard]] std::size_t session_count() const { return m_sessions.size(); }
 
@@ -79,6 +77,8 @@
     bool on_home_line(session_id id, session_entry& session, const std::string& line);
     void on_home_failed(session_id id, const std::string& cause);
     [[nodiscard]] bool may_close(const session_entry& session, time_point now) const;
+    [[nodiscard]] bool refuses(const session_entry& session, statement::verb kind,
+                               time_point now) const;
     void answer_and_end(session_id id);
     void end_session(session_id id);
     void close_home_socket(session_entry& session);
@@ -88,8 +88,7 @@
     random_source m_random;
     std::map<session_id, std::unique_ptr<session_entry>> m_sessions;
     std::uint64_t m_next_turn; ///< spreads sessions over homes that are equally near
-    std::optional<time_point> m_shutdown_at;
-    time_point m_transactions_end{}; ///< during a shutdown: open transactions are closed then
+    std::optional<proxy::shutdown_schedule> m_shutdown;
 };
 
 } // namespace gypsumstep::edge
--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -210,9 +210,9 @@
 
 void coordinator::survey(time_point now)
 {
-    const bool answers_in_time = m_group.primary_failing_for < suspicion_delay;
+    const bool primary_answers = m_group.primary_failing_for < suspicion_delay;
     const bool is_synchronous = m_group.sync_replicas > 0;
-    if (is_synchronous && is_planned() && answers_in_time && !m_replica_keeps_up) {
+    if (is_synchronous && is_planned() && primary_answers && !m_replica_keeps_up) {
         check_replicas(now);
         return;
     }
@@ -226,7 +226,7 @@
     }
     // Replicas that wait for the end of a stopped primary's log must go on receiving it. If none
     // reaches it, the next survey compares the logs as they are.
-    const bool primary_stops = m_required || (is_planned() && answers_in_time);
+    const bool primary_stops = m_required || (is_planned() && primary_answers);
     m_replicas_paused = is_synchronous && (!primary_stops || m_no_target_found);
     next.pause = m_replicas_paused;
     next.servers = candidates();
--- a/packages/proxy/include/gypsumstep/proxy/options.h
+++ b/packages/proxy/include/gypsumstep/proxy/options.h
@@ -11,15 +11,6 @@
 
 namespace gypsumstep::proxy {
 
-/// During a shutdown, idle sessions are closed at random times within this window, so that
-/// their clients don't all reconnect elsewhere at once. The load balancer has stopped sending
-/// new sessions by then.
-inline constexpr duration session_close_window = 2s;
-
-/// A shutdown closes a session that waits for no answer only after it was idle for this time, since
-/// a statement may be on its way. A session that just got an answer is closed with it.
-inline constexpr duration min_idle_before_close = 100ms;
-
 /// Backoff before a server that reported no capacity gets more statements.
 inline constexpr duration busy_backoff = 10ms;
 
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -13,6 +13,7 @@
 #include "gypsumstep/proxy/actions.h"
 #include "gypsumstep/proxy/detail/state.h"
 #include "gypsumstep/proxy/options.h"
+#include "gypsumstep/proxy/shutdown_schedule.h"
 
 #include <cstdint>
 #include <functional>
@@ -288,10 +289,11 @@
     // Shutdown: shutdown.cpp.
     void continue_shutdown(time_point now);
     [[nodiscard]] bool may_close(const client_session& session, time_point now) const;
-    [[nodiscard]] bool refuses_transactions(time_point now) const;
-    [[nodiscard]] bool refuses_statements(time_point now) const;
-    void refuse_in_shutdown(client_session& session, time_point now);
-    void close_when_answered(session_id id, time_point now);
+    [[nodiscard]] bool refuses_in_shutdown(const client_session& session, statement::verb kind,
+                                           time_point now) const;
+    void refuse_in_shutdown(client_session& session, const statement::statement& request,
+                            time_point now);
+    void on_session_answered(session_id id, time_point now);
     void close_answered_sessions();
     void answer_running_statement(client_session& session, time_point now);
 
@@ -330,7 +332,7 @@
     time_point m_next_claim_request{};
     std::optional<time_point> m_last_tick;
     tick_need m_tick_need{tick_need::soon};
-    std::optional<time_point> m_shutdown_at;
+    std::optional<shutdown_schedule> m_shutdown;
     bool m_shutdown_reported{false};
     /// Sessions that a shutdown may close with their last answer, and when it was given. They are
     /// closed once the event that answered them has been handled.
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -37,8 +37,8 @@
     auto session = std::make_unique<client_session>();
     session->id = id;
     session->idle_since = now;
-    if (m_shutdown_at) {
-        session->close_at = *m_shutdown_at + session_close_window;
+    if (m_shutdown) {
+        session->close_at = m_shutdown->close_window_end();
     }
     m_sessions.emplace(id, std::move(session));
 }
@@ -117,6 +117,10 @@
     if (session.open_transaction) {
         session.open_transaction->last_used = now;
     }
+    if (refuses_in_shutdown(session, request.kind, now)) {
+        refuse_in_shutdown(session, request, now);
+        return;
+    }
     const bool failed = session.open_transaction && session.open_transaction->failed;
     switch (request.kind) {
     case verb::rollback:
@@ -136,10 +140,6 @@
     switch (request.kind) {
     case verb::begin:
     case verb::begin_read_only:
-        if (refuses_transactions(now)) {
-            refuse_in_shutdown(session, now);
-            return;
-        }
         begin_transaction(session, request, request.kind == verb::begin_read_only);
         return;
     case verb::set:
@@ -227,10 +227,6 @@
 void proxy::run_statement(client_session& session, const statement::statement& request,
                           time_point now)
 {
-    if (!session.open_transaction && refuses_statements(now)) {
-        refuse_in_shutdown(session, now);
-        return;
-    }
     const directory::route* const route = session.open_transaction
                                               ? &session.open_transaction->route
                                               : m_routes.find(session.database);
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -16,7 +16,7 @@
 
 bool proxy::ready() const
 {
-    return m_routes.loaded() && m_directory.loaded() && !m_shutdown_at;
+    return m_routes.loaded() && m_directory.loaded() && !m_shutdown;
 }
 
 listing_urgency proxy::server_listing_urgency() const
--- a/packages/proxy/src/shutdown.cpp
+++ b/packages/proxy/src/shutdown.cpp
@@ -4,57 +4,50 @@
 #include <algorithm>
 
 namespace gypsumstep::proxy {
-namespace {
-
-/// The shutdown completes this long before the process would be killed.
-constexpr duration shutdown_margin = 300ms;
-
-/// Statements that arrive this late before the end of a shutdown are refused: most could not be
-/// answered any more.
-constexpr duration last_statement_margin = 1s;
-
-} // namespace
 
 void proxy::begin_shutdown(time_point now)
 {
-    if (m_shutdown_at) {
+    if (m_shutdown) {
         return;
     }
-    m_shutdown_at = now;
+    m_shutdown.emplace(now, m_options.shutdown_grace);
     request_tick(tick_need::soon);
     for (auto& [id, session] : m_sessions) {
         session->close_at = now + m_random.between(duration{0}, session_close_window);
     }
 }
 
-bool proxy::refuses_transactions(time_point now) const
-{
-    return m_shutdown_at && now - *m_shutdown_at >= m_options.shutdown_grace / 2;
-}
-
-bool proxy::refuses_statements(time_point now) const
+bool proxy::refuses_in_shutdown(const client_session& session, statement::verb kind,
+                                time_point now) const
 {
-    return m_shutdown_at && now - *m_shutdown_at >=
-                                m_options.shutdown_grace - shutdown_margin - last_statement_margin;
+    if (!m_shutdown || session.open_transaction) {
+        return false;
+    }
+    const bool begins = kind == statement::verb::begin || kind == statement::verb::begin_read_only;
+    return begins ? m_shutdown->ends_transactions(now) : m_shutdown->refuses_statements(now);
 }
 
-void proxy::refuse_in_shutdown(client_session& session, time_point now)
+void proxy::refuse_in_shutdown(client_session& session, const statement::statement& request,
+                               time_point now)
 {
+    log_decision(
+        importance::failure, "refused a statement: the process stops", request.id,
+        {{"database", session.database}, {"statement", statement::to_string(request.kind)}});
     answer_error(session, error_class::busy, "this daemon shuts down; reconnect");
-    close_when_answered(session.id, now);
+    on_session_answered(session.id, now);
 }
 
 bool proxy::may_close(const client_session& session, time_point now) const
 {
-    if (!m_shutdown_at || session.running || !session.pipelined.empty()) {
+    if (!m_shutdown || session.running || !session.pipelined.empty()) {
         return false;
     }
-    return session.open_transaction ? refuses_transactions(now) : now >= session.close_at;
+    return session.open_transaction ? m_shutdown->ends_transactions(now) : now >= session.close_at;
 }
 
-void proxy::close_when_answered(session_id id, time_point now)
+void proxy::on_session_answered(session_id id, time_point now)
 {
-    if (m_shutdown_at) {
+    if (m_shutdown) {
         m_answered_sessions.emplace_back(id, now);
     }
 }
@@ -75,8 +68,7 @@
 
 void proxy::continue_shutdown(time_point now)
 {
-    const duration passed = now - *m_shutdown_at;
-    const bool over = passed >= m_options.shutdown_grace - shutdown_margin;
+    const bool over = m_shutdown->is_over(now);
     std::vector<session_id> closing;
     std::vector<session_id> unanswered;
     for (const auto& [id, session] : m_sessions) {
@@ -100,7 +92,8 @@
             }
         }
     }
-    if (!m_shutdown_reported && ((m_sessions.empty() && passed >= session_close_window) || over)) {
+    const bool ended = m_sessions.empty() && now >= m_shutdown->close_window_end();
+    if (!m_shutdown_reported && (ended || over)) {
         m_shutdown_reported = true;
         emit(shutdown_complete{});
     }
@@ -115,8 +108,6 @@
                   {"queued", work->queued ? "true" : "false"},
                   {"sent", work->sent ? "true" : "false"},
                   {"waited_us", std::to_string((now - work->arrived).count())}});
-    // What is sent ahead is not run any more.
-    session.pipelined.clear();
     const bool queued = work->queued;
     const bool unknown = !queued && may_have_committed(*work, session);
     abandon_task(work);
--- a/packages/proxy/src/statement_end.cpp
+++ b/packages/proxy/src/statement_end.cpp
@@ -282,7 +282,7 @@
                             on_replica});
     answer(*owner, std::move(content));
     run_next_pipelined(*owner, now);
-    close_when_answered(owner->id, now);
+    on_session_answered(owner->id, now);
 }
 
 void proxy::refuse(const task_ptr& work, error_class kind, const std::string& text, time_point now)
--- a/packages/proxy/src/timers.cpp
+++ b/packages/proxy/src/timers.cpp
@@ -44,7 +44,7 @@
     for (auto& [name, group] : m_groups) {
         check_group(*group, now);
     }
-    if (m_shutdown_at) {
+    if (m_shutdown) {
         request_tick(tick_need::soon);
         continue_shutdown(now);
     }
