--- a/packages/edge/src/session_forwarder.cpp
+++ b/packages/edge/src/session_forwarder.cpp
@@ -112,7 +112,8 @@
     }
     const auto& request = std::get<adapter::statement_message>(message.value()).request;
     session.last_used = boot_now();
-    if (refuses(session, request.kind, session.last_used)) {
+    if (m_shutdown && session.tracker.is_idle() &&
+        m_shutdown->refuses(request.kind, session.last_used)) {
         log().warn("refused a statement: the process stops",
                    {{"session", id.value()},
                     {"request_id", std::string_view{request.id}},
@@ -217,16 +218,6 @@
                                      : m_shutdown->ends_transactions(now);
 }
 
-bool session_forwarder::refuses(const session_entry& session, statement::verb kind,
-                                time_point now) const
-{
-    if (!m_shutdown || !session.tracker.is_idle()) {
-        return false;
-    }
-    const bool begins = kind == statement::verb::begin || kind == statement::verb::begin_read_only;
-    return begins ? m_shutdown->ends_transactions(now) : m_shutdown->refuses_statements(now);
-}
-
 void session_forwarder::on_client_closed(session_id id)
 {
     const auto found = m_sessions.find(id);
--- a/packages/edge/src/session_forwarder.h
+++ b/packages/edge/src/session_forwarder.h
@@ -77,8 +77,6 @@
     bool on_home_line(session_id id, session_entry& session, const std::string& line);
     void on_home_failed(session_id id, const std::string& cause);
     [[nodiscard]] bool may_close(const session_entry& session, time_point now) const;
-    [[nodiscard]] bool refuses(const session_entry& session, statement::verb kind,
-                               time_point now) const;
     void answer_and_end(session_id id);
     void end_session(session_id id);
     void close_home_socket(session_entry& session);
--- a/packages/promotion/include/gypsumstep/promotion/coordinator.h
+++ b/packages/promotion/include/gypsumstep/promotion/coordinator.h
@@ -227,9 +227,9 @@
     time_point m_read_at{};                 ///< when m_shared was asked for
     std::optional<log_position> m_required; ///< where the former primary's log ends
     std::vector<survey_answer> m_answers;
-    bool m_replicas_paused{false}; ///< during the last survey
-    bool m_replica_keeps_up{false};
-    bool m_no_target_found{false}; ///< in the last survey
+    bool m_replicas_paused{false};  ///< during the last survey
+    bool m_replica_keeps_up{false}; ///< as checked in this attempt
+    bool m_no_target_found{false};  ///< in the last survey
     claim m_claim;
     std::uint32_t m_orders_sent{0};               ///< orders sent under the current claim
     std::optional<std::string> m_rejected_target; ///< the target that the platform refused
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -289,8 +289,6 @@
     // Shutdown: shutdown.cpp.
     void continue_shutdown(time_point now);
     [[nodiscard]] bool may_close(const client_session& session, time_point now) const;
-    [[nodiscard]] bool refuses_in_shutdown(const client_session& session, statement::verb kind,
-                                           time_point now) const;
     void refuse_in_shutdown(client_session& session, const statement::statement& request,
                             time_point now);
     void on_session_answered(session_id id, time_point now);
--- a/packages/proxy/include/gypsumstep/proxy/shutdown_schedule.h
+++ b/packages/proxy/include/gypsumstep/proxy/shutdown_schedule.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gypsumstep/base/time.h"
+#include "gypsumstep/statement/statement.h"
 
 namespace gypsumstep::proxy {
 
@@ -31,11 +32,14 @@
         return now - m_began_at >= m_grace / 2;
     }
 
-    /// Returns true once statements outside transactions are refused, as most could not be answered
-    /// any more.
-    [[nodiscard]] bool refuses_statements(time_point now) const
+    /// Returns true if a statement of this kind, outside a transaction, is refused since most such
+    /// statements could not end any more.
+    [[nodiscard]] bool refuses(statement::verb kind, time_point now) const
     {
-        return now - m_began_at >= m_grace - end_margin - last_statement_margin;
+        const bool begins =
+            kind == statement::verb::begin || kind == statement::verb::begin_read_only;
+        return now - m_began_at >= m_grace - end_margin - last_statement_margin ||
+               (begins && ends_transactions(now));
     }
 
     /// Returns true once everything that has no answer is answered with an error.
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -117,7 +117,7 @@
     if (session.open_transaction) {
         session.open_transaction->last_used = now;
     }
-    if (refuses_in_shutdown(session, request.kind, now)) {
+    if (m_shutdown && !session.open_transaction && m_shutdown->refuses(request.kind, now)) {
         refuse_in_shutdown(session, request, now);
         return;
     }
--- a/packages/proxy/src/shutdown.cpp
+++ b/packages/proxy/src/shutdown.cpp
@@ -17,16 +17,6 @@
     }
 }
 
-bool proxy::refuses_in_shutdown(const client_session& session, statement::verb kind,
-                                time_point now) const
-{
-    if (!m_shutdown || session.open_transaction) {
-        return false;
-    }
-    const bool begins = kind == statement::verb::begin || kind == statement::verb::begin_read_only;
-    return begins ? m_shutdown->ends_transactions(now) : m_shutdown->refuses_statements(now);
-}
-
 void proxy::refuse_in_shutdown(client_session& session, const statement::statement& request,
                                time_point now)
 {
