Bind sessions and server connections to client accounts

Cause: the list of client accounts in the configuration was not read, any key was accepted, and one server connection served all accounts under the daemon's name.

Change: packages/accounts holds accounts and digests of keys; platform/ reads the list, leaves malformed entries out and hashes keys where it reads them. A session's account is looked up when it starts and at the start of each operation, by the entry daemon and by the home; an unknown key gets NOAUTH. A server connection is started for one account and runs only its statements; when the limit is reached, the longest idle connection of another account is closed.

Ruled out: forwarding the account's name instead of the digest, since a home would have to believe the sender and could not notice a removed key by its own, newer configuration.

--- a/packages/directory/include/gypsumstep/directory/route_table.h
+++ b/packages/directory/include/gypsumstep/directory/route_table.h
@@ -2,11 +2,13 @@
 /// The active routes: which databases clients may use, and which commits their reads must see.
 #pragma once
 
+#include "gypsumstep/accounts/account_table.h"
 #include "gypsumstep/base/ids.h"
 #include "gypsumstep/base/time.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +31,7 @@
     duration target_latency{0};    ///< target for a whole operation, without the client's pauses
     std::uint32_t priority{0};     ///< 0 is served first
     duration max_staleness{0};     ///< applies unless reads see every acknowledged commit
+    bool is_public{false};         ///< clients need no key of a client account
 
     friend bool operator==(const route&, const route&) = default;
 };
@@ -47,6 +50,9 @@
     std::vector<route> routes;
     std::map<std::string, service_settings, std::less<>> services;
     duration transaction_idle_timeout{0}; ///< an open transaction idle for longer may be ended
+    /// The client accounts; empty if the configuration has no list of them.
+    std::optional<accounts::account_table> accounts;
+    std::vector<std::string> ignored_entries; ///< malformed entries, each with its problem
 
     friend bool operator==(const configuration&, const configuration&) = default;
 };
--- a/packages/edge/src/client_listener.cpp
+++ b/packages/edge/src/client_listener.cpp
@@ -22,8 +22,9 @@
 
 } // namespace
 
-client_listener::client_listener(client_events events, session_id first_session)
-    : m_events{std::move(events)}, m_next_session{first_session.value()}
+client_listener::client_listener(client_events events, session_id first_session,
+                                 adapter::line_sender sender)
+    : m_events{std::move(events)}, m_next_session{first_session.value()}, m_sender{sender}
 {
     m_server.setListenBacklogSize(backlog);
     connect(&m_server, &QTcpServer::newConnection, this, [this] { accept(); });
@@ -93,7 +94,7 @@
 
 bool client_listener::handle_message(session_id id, const std::string& line)
 {
-    auto message = adapter::decode_client_line(line);
+    auto message = adapter::decode_client_line(line, m_sender);
     if (message.has_error()) {
         m_events.malformed(id, message.error().message);
         close(id);
--- a/packages/edge/src/client_listener.h
+++ b/packages/edge/src/client_listener.h
@@ -29,7 +29,8 @@
 class client_listener : public QObject {
 public:
     /// \param first_session id of the first session; later sessions get the ids that follow
-    client_listener(client_events events, session_id first_session);
+    /// \param sender the kind of program that connects to it
+    client_listener(client_events events, session_id first_session, adapter::line_sender sender);
 
     /// Starts to listen; false if the address cannot be used.
     [[nodiscard]] bool listen(const std::string& host, std::uint16_t port);
@@ -66,6 +67,7 @@
     QTcpServer m_server;
     std::map<session_id, std::unique_ptr<connection>> m_connections;
     std::uint64_t m_next_session;
+    adapter::line_sender m_sender;
 };
 
 } // namespace gypsumstep::edge
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -57,6 +57,7 @@
     options.seed = seed_of(settings);
     options.shutdown_grace = settings.shutdown_grace;
     options.old_primary_stops = settings.old_primary_stops;
+    options.accounts_required = settings.accounts_required;
     return options;
 }
 
@@ -83,9 +84,14 @@
                    [this] { return m_store_view.subscribers(); },
                    [this] { return !m_store_view.reads_store(); },
                }},
-      m_client_listener{client_listener_events(), session_id{1}},
-      m_forwarding_listener{forwarding_listener_events(), first_forwarded_session},
-      m_forwarder{m_client_listener, m_roster.homes(), seed_of(m_settings)},
+      m_client_listener{client_listener_events(), session_id{1}, adapter::line_sender::client},
+      m_forwarding_listener{forwarding_listener_events(), first_forwarded_session,
+                            adapter::line_sender::daemon},
+      m_forwarder{m_client_listener, m_roster.homes(), seed_of(m_settings),
+                  [this](const adapter::start_message& start) {
+                      const directory::route* const route = m_proxy.routes().find(start.database);
+                      return route == nullptr || m_proxy.authorize(*route, start.key).granted;
+                  }},
       m_server_connections{
           m_settings.name,
           {
--- a/packages/edge/src/edge_sessions.cpp
+++ b/packages/edge/src/edge_sessions.cpp
@@ -47,11 +47,12 @@
 void edge_process::start_session(session_id id, const adapter::start_message& message)
 {
     const directory::route* const route = m_proxy.routes().find(message.database);
-    if (route != nullptr) {
+    // A session that the proxy will refuse is not forwarded.
+    if (route != nullptr && m_proxy.authorize(*route, message.key).granted) {
         const auto max_connections = m_proxy.routes().settings_of(route->service).max_connections;
         if (!m_roster.homes().is_home(route->service, max_connections)) {
             m_proxy.on_client_closed(id, boot_now());
-            m_forwarder.forward(id, {{message.database, m_proxy.routes().version()},
+            m_forwarder.forward(id, {{message.database, message.key, m_proxy.routes().version()},
                                      route->service,
                                      max_connections,
                                      route->statement_timeout});
@@ -59,7 +60,7 @@
             return;
         }
     }
-    m_proxy.on_client_start(id, message.database, boot_now());
+    m_proxy.on_client_start(id, message.database, message.key, boot_now());
     run_actions();
 }
 
@@ -81,7 +82,7 @@
         }
         return;
     }
-    m_proxy.on_client_start(id, message.database, boot_now());
+    m_proxy.on_client_start(id, message.database, message.key, boot_now());
     run_actions();
 }
 
@@ -105,7 +106,7 @@
         const bool caught_up = has_configuration(start.message) &&
                                (has_usable_server_list(now) || now >= start.deadline);
         if (caught_up) {
-            m_proxy.on_client_start(id, start.message.database, now);
+            m_proxy.on_client_start(id, start.message.database, start.message.key, now);
         }
         else if (now >= start.deadline) {
             log().warn("refused a forwarded session: this daemon has only an older configuration",
--- a/packages/edge/src/server_connections.cpp
+++ b/packages/edge/src/server_connections.cpp
@@ -29,7 +29,8 @@
     opened->socket = socket;
     m_connections.emplace(request.connection, std::move(opened));
     const proxy::server_connection_id id = request.connection;
-    const std::string start = adapter::encode_start(request.service, m_daemon_name, request.server);
+    const std::string& account = request.account.empty() ? m_daemon_name : request.account;
+    const std::string start = adapter::encode_start(request.service, account, request.server);
     connect(socket, &QTcpSocket::connected, this, [this, id, start, socket] {
         set_socket_options(*socket, server_keepalive);
         if (const auto found = m_connections.find(id); found != m_connections.end()) {
--- a/packages/edge/src/session_forwarder.cpp
+++ b/packages/edge/src/session_forwarder.cpp
@@ -34,9 +34,11 @@
 
 } // namespace
 
-session_forwarder::session_forwarder(client_listener& clients, homes::home_table& homes,
-                                     std::uint64_t seed)
-    : m_clients{clients}, m_homes{homes}, m_random{seed}, m_next_turn{m_random.below(UINT32_MAX)}
+session_forwarder::session_forwarder(
+    client_listener& clients, homes::home_table& homes, std::uint64_t seed,
+    std::function<bool(const adapter::start_message&)> is_authorized)
+    : m_clients{clients}, m_homes{homes}, m_random{seed}, m_is_authorized{std::move(is_authorized)},
+      m_next_turn{m_random.below(UINT32_MAX)}
 {
 }
 
@@ -98,7 +100,7 @@
         return;
     }
     session_entry& session = *found->second;
-    const auto message = adapter::decode_client_line(line);
+    const auto message = adapter::decode_client_line(line, adapter::line_sender::client);
     if (message.has_error() || std::holds_alternative<adapter::start_message>(message.value()) ||
         !session.started) {
         log().warn("closed a client's connection",
@@ -118,11 +120,14 @@
                    {{"session", id.value()},
                     {"request_id", std::string_view{request.id}},
                     {"statement", statement::to_string(request.kind)}});
-        statement::answer answer;
-        answer.error = statement::error_class::busy;
-        answer.error_text = "this daemon shuts down; reconnect";
-        m_clients.send_answer(id, answer);
-        end_session(id);
+        refuse_and_end(id, statement::error_class::busy, "this daemon shuts down; reconnect");
+        return;
+    }
+    // The home may have an older configuration, so this daemon checks as well.
+    if (session.tracker.is_idle() && !m_is_authorized(session.request.start)) {
+        log().warn("refused an operation: its key was removed",
+                   {{"session", id.value()}, {"request_id", std::string_view{request.id}}});
+        refuse_and_end(id, statement::error_class::unauthorized, "the key is not known any more");
         return;
     }
     session.tracker.on_statement(request, session.last_used);
@@ -174,6 +179,13 @@
         return false;
     }
     if (!state) {
+        if (adapter::refuses_key(line)) {
+            log().warn("refused a session: the home's configuration has no such key",
+                       {{"session", id.value()}, {"home", session.home}});
+            m_clients.write(id, line + "\r\n");
+            end_session(id);
+            return true;
+        }
         // This home does not serve the database at present; another home may.
         on_home_failed(id, line);
         return true;
@@ -209,6 +221,15 @@
     end_session(id);
 }
 
+void session_forwarder::refuse_and_end(session_id id, statement::error_class kind, const char* text)
+{
+    statement::answer answer;
+    answer.error = kind;
+    answer.error_text = text;
+    m_clients.send_answer(id, answer);
+    end_session(id);
+}
+
 bool session_forwarder::may_close(const session_entry& session, time_point now) const
 {
     if (!m_shutdown || !session.started || session.tracker.is_waiting()) {
--- a/packages/edge/src/session_forwarder.h
+++ b/packages/edge/src/session_forwarder.h
@@ -12,6 +12,7 @@
 #include <QTcpSocket>
 #include <QTimer>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,7 +24,10 @@
 /// Passes lines between clients and homes, one connection to a home for each session.
 class session_forwarder : public QObject {
 public:
-    session_forwarder(client_listener& clients, homes::home_table& homes, std::uint64_t seed);
+    /// \param is_authorized whether the client that sent this start may use its database under the
+    ///     configuration in force
+    session_forwarder(client_listener& clients, homes::home_table& homes, std::uint64_t seed,
+                      std::function<bool(const adapter::start_message&)> is_authorized);
 
     /// The database that a session asks for, its group, and how long a statement may take.
     struct session_request {
@@ -78,12 +82,14 @@
     void on_home_failed(session_id id, const std::string& cause);
     [[nodiscard]] bool may_close(const session_entry& session, time_point now) const;
     void answer_and_end(session_id id);
+    void refuse_and_end(session_id id, statement::error_class kind, const char* text);
     void end_session(session_id id);
     void close_home_socket(session_entry& session);
 
     client_listener& m_clients;
     homes::home_table& m_homes;
     random_source m_random;
+    std::function<bool(const adapter::start_message&)> m_is_authorized;
     std::map<session_id, std::unique_ptr<session_entry>> m_sessions;
     std::uint64_t m_next_turn; ///< spreads sessions over homes that are equally near
     std::optional<proxy::shutdown_schedule> m_shutdown;
--- a/packages/edge/tests/test_session_forwarder.cpp
+++ b/packages/edge/tests/test_session_forwarder.cpp
@@ -45,8 +45,10 @@
 struct forwarding_daemon {
     fake_home home;
     homes::home_table table{"self", "b", {}};
-    client_listener clients{events(), session_id{1}};
-    session_forwarder forwarder{clients, table, 1};
+    bool authorized{true};
+    client_listener clients{events(), session_id{1}, adapter::line_sender::client};
+    session_forwarder forwarder{clients, table, 1,
+                                [this](const adapter::start_message&) { return authorized; }};
     QTcpSocket client;
     std::string client_received;
 
@@ -59,7 +61,7 @@
         QObject::connect(&client, &QTcpSocket::readyRead, &client,
                          [this] { client_received += client.readAll().toStdString(); });
         client.connectToHost(QHostAddress::LocalHost, listen_port);
-        client.write("START orders\r\n");
+        client.write("START orders k1\r\n");
         REQUIRE(run_until([this] { return !home.received.empty(); }));
     }
 
@@ -68,7 +70,7 @@
         client_events handlers;
         handlers.connected = [](session_id) {};
         handlers.started = [this](session_id id, const adapter::start_message& message) {
-            forwarder.forward(id, {{message.database, config_version{7}},
+            forwarder.forward(id, {{message.database, message.key, config_version{7}},
                                    service_homed_at_home(),
                                    few_connections,
                                    100ms});
@@ -112,7 +114,8 @@
 {
     application();
     forwarding_daemon daemon;
-    CHECK(daemon.home.received == "START orders 7\r\n");
+    CHECK(daemon.home.received ==
+          "START orders 7 6ab9f1eb8f7d3388f4f9d586f66e99fd54080df2c446f0e58668b09c08a16dd0\r\n");
     daemon.start();
     daemon.send("QUERY 1 READ a\r\n");
     daemon.home.answer("ROW x\r\nDONE 7.1\r\nREADY I 1.5\r\n");
@@ -234,3 +237,35 @@
     daemon.home.answer("ERROR BUSY x\r\n");
     CHECK(run_until([&] { return daemon.client_received.starts_with("ERROR BUSY"); }));
 }
+
+// Guards against a removed key that stays valid on open sessions whose home has an older
+// configuration.
+TEST_CASE("a forwarded session whose key was removed gets no further operation")
+{
+    application();
+    forwarding_daemon daemon;
+    daemon.start();
+    daemon.send("QUERY 1 BEGIN\r\n");
+    daemon.home.answer("DONE -\r\nREADY T -\r\n");
+    REQUIRE(run_until([&] { return daemon.client_received.ends_with("READY T -\r\n"); }));
+    daemon.authorized = false;
+    daemon.send("QUERY 1 ROLLBACK\r\n");
+    daemon.client_received.clear();
+    daemon.home.answer("DONE -\r\nREADY I -\r\n");
+    REQUIRE(run_until([&] { return daemon.client_received.ends_with("READY I -\r\n"); }));
+    daemon.client_received.clear();
+    daemon.home.received.clear();
+    daemon.client.write("QUERY 2 READ a\r\n");
+    CHECK(run_until([&] { return daemon.client_received.starts_with("ERROR NOAUTH"); }));
+    CHECK(daemon.home.received.empty());
+}
+
+// Guards against a client with an unknown key that is sent to one home after the other.
+TEST_CASE("a home's refusal of a key goes to the client")
+{
+    application();
+    forwarding_daemon daemon;
+    daemon.home.answer("ERROR NOAUTH the key is not known\r\n");
+    CHECK(run_until(
+        [&] { return daemon.client_received == "ERROR NOAUTH the key is not known\r\n"; }));
+}
--- a/packages/proxy/include/gypsumstep/proxy/actions.h
+++ b/packages/proxy/include/gypsumstep/proxy/actions.h
@@ -45,7 +45,8 @@
     std::string host;
     std::uint16_t port{0};
     std::string service;
-    std::string server; ///< name of the server expected at this address
+    std::string server;  ///< name of the server expected at this address
+    std::string account; ///< client account that it is for; empty for none
 };
 
 /// Sends a command to a backend server.
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -46,6 +46,7 @@
     bool is_commit{false};
     bool opens_transaction{false}; ///< first statement of a transaction
     bool read_only_transaction{false};
+    std::string account; ///< client account for which it runs; empty for none
     freshness::read_bound bound;
     std::optional<freshness::required_position>
         required_position;               ///< position its server must have reached
@@ -68,6 +69,7 @@
     bool failed{false};
     bool wrote{false};
     directory::route route;
+    std::string account; ///< client account for which it runs; empty for none
     std::optional<server_connection_id> connection; ///< set from the first statement on
     time_point last_used{};
 };
@@ -83,7 +85,8 @@
 /// A client's session.
 struct client_session {
     session_id id;
-    std::string database; ///< empty until the session was started
+    std::string database;                    ///< empty until the session was started
+    std::optional<accounts::key_digest> key; ///< empty if the client sent none
     statement::session_state state;
     std::optional<client_transaction> open_transaction;
     /// By service: a route may leave a service and come back to it during the session.
@@ -110,6 +113,7 @@
 struct server_connection {
     server_connection_id id;
     server_id server;
+    std::string account; ///< client account named at its start; empty for none
     connection_phase phase{connection_phase::opening};
     bool counted_as_running{false}; ///< counted in backend_server::running
     statement::connection_state replayed;
--- a/packages/proxy/include/gypsumstep/proxy/options.h
+++ b/packages/proxy/include/gypsumstep/proxy/options.h
@@ -53,6 +53,10 @@
     /// Timeout for commands that the proxy itself issues, such as BEGIN and ROLLBACK.
     duration internal_command_timeout{2s};
 
+    /// Whether clients need the key of a client account even if the configuration has no list of
+    /// accounts.
+    bool accounts_required{false};
+
     /// Maximum number of statements of a session that wait for an earlier one to finish.
     std::size_t max_pipelined{16};
 
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "gypsumstep/base/random.h"
+#include "gypsumstep/directory/authorization.h"
 #include "gypsumstep/directory/route_table.h"
 #include "gypsumstep/directory/server_directory.h"
 #include "gypsumstep/promotion/claim_exchange.h"
@@ -62,7 +63,9 @@
 
     // Events from clients.
     void on_client_connected(session_id id, time_point now);
-    void on_client_start(session_id id, const std::string& database, time_point now);
+    /// \param key digest of the client's key; empty if it sent none
+    void on_client_start(session_id id, const std::string& database,
+                         const std::optional<accounts::key_digest>& key, time_point now);
     void on_client_statement(session_id id, statement::statement request, time_point now);
     void on_client_closed(session_id id, time_point now);
 
@@ -132,6 +135,10 @@
     [[nodiscard]] proxy_gauges gauges() const;
     [[nodiscard]] const directory::route_table& routes() const { return m_routes; }
 
+    /// Checks a client's key against the configuration in force.
+    [[nodiscard]] directory::authorization
+    authorize(const directory::route& used, const std::optional<accounts::key_digest>& key) const;
+
 private:
     using task = detail::task;
     using task_ptr = detail::task_ptr;
@@ -165,6 +172,8 @@
     [[nodiscard]] statement::transaction_state
     transaction_state_of(const client_session& session) const;
     void abandon_task(const task_ptr& work);
+    [[nodiscard]] std::optional<std::string>
+    account_for(client_session& session, const directory::route& used, const std::string& request);
     [[nodiscard]] static bool may_have_committed(const task& work, const client_session& owner);
 
     // Choosing servers: dispatching.cpp.
@@ -182,10 +191,15 @@
                                                    time_point now) const;
     [[nodiscard]] duration expected_wait(const database_group& group, const task& work,
                                          std::size_t ahead, time_point now) const;
-    server_connection* find_idle_connection(backend_server& server, const client_session* session);
-    [[nodiscard]] bool has_idle_connection(const backend_server& server) const;
-    void open_connection_if_allowed(backend_server& server, time_point now);
-    [[nodiscard]] bool may_open_connection(const backend_server& server, time_point now) const;
+    server_connection* find_idle_connection(backend_server& server, const task* work);
+    [[nodiscard]] bool has_idle_connection(const backend_server& server,
+                                           const std::string& account) const;
+    void open_connection_if_allowed(backend_server& server, const std::string& account,
+                                    time_point now);
+    bool close_idle_connection_of_other(backend_server& server, const std::string& account,
+                                        time_point now);
+    [[nodiscard]] bool may_open_connection(const backend_server& server, const std::string& account,
+                                           time_point now) const;
     void request_watermark(database_group& group, time_point acknowledged_before, time_point now);
     void enqueue(database_group& group, const task_ptr& work);
     void requeue(const task_ptr& work, duration backoff, time_point now);
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -43,7 +43,8 @@
     m_sessions.emplace(id, std::move(session));
 }
 
-void proxy::on_client_start(session_id id, const std::string& database, time_point now)
+void proxy::on_client_start(session_id id, const std::string& database,
+                            const std::optional<accounts::key_digest>& key, time_point now)
 {
     client_session* const session = find_session(id);
     if (session == nullptr) {
@@ -65,6 +66,14 @@
                      {{"database", database},
                       {"configuration", std::to_string(m_routes.version().value())}});
     }
+    else if (!authorize(*m_routes.find(database), key).granted) {
+        content.error = error_class::unauthorized;
+        content.error_text = "the key is not known";
+        log_decision(importance::failure, "refused a session: its key is of no client account", "",
+                     {{"database", database},
+                      {"has_key", key ? "true" : "false"},
+                      {"configuration", std::to_string(m_routes.version().value())}});
+    }
     const bool ok = content.ok();
     emit(send_start_answer{id, std::move(content)});
     if (!ok) {
@@ -73,9 +82,30 @@
         return;
     }
     session->database = database;
+    session->key = key;
     session->idle_since = now;
 }
 
+directory::authorization proxy::authorize(const directory::route& used,
+                                          const std::optional<accounts::key_digest>& key) const
+{
+    return directory::authorize(m_routes.current(), used, key, m_options.accounts_required);
+}
+
+std::optional<std::string> proxy::account_for(client_session& session, const directory::route& used,
+                                              const std::string& request)
+{
+    directory::authorization checked = authorize(used, session.key);
+    if (checked.granted) {
+        return std::move(checked.account);
+    }
+    log_decision(importance::failure, "refused an operation: its key was removed", request,
+                 {{"database", session.database},
+                  {"configuration", std::to_string(m_routes.version().value())}});
+    answer_error(session, error_class::unauthorized, "the key is not known any more");
+    return std::nullopt;
+}
+
 void proxy::on_client_statement(session_id id, statement::statement request, time_point now)
 {
     client_session* const session = find_session(id);
@@ -169,11 +199,16 @@
         answer_error(session, error_class::unknown_database, "the route was removed");
         return;
     }
+    auto account = account_for(session, *route, request.id);
+    if (!account) {
+        return;
+    }
     // The transaction begins on a server only with its first statement, so that a client that
     // is idle before then holds no server connection.
     detail::client_transaction opened;
     opened.read_only = read_only;
     opened.route = *route;
+    opened.account = std::move(*account);
     opened.last_used = session.idle_since;
     session.open_transaction = std::move(opened);
     answer_done(session);
@@ -244,7 +279,13 @@
         answer_error(session, error_class::unknown_name, "no such prepared statement");
         return;
     }
+    auto account = session.open_transaction ? std::optional{session.open_transaction->account}
+                                            : account_for(session, *route, request.id);
+    if (!account) {
+        return;
+    }
     const task_ptr work = make_task(session, request, *route, now);
+    work->account = std::move(*account);
     session.running = work;
     if (session.open_transaction && session.open_transaction->connection) {
         run_in_transaction(session, work, now);
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -90,10 +90,9 @@
     if (takes_slot && primary->running >= statement_limit_for(*work, *primary)) {
         return false;
     }
-    server_connection* const connection =
-        find_idle_connection(*primary, find_session(work->session));
+    server_connection* const connection = find_idle_connection(*primary, work.get());
     if (connection == nullptr) {
-        open_connection_if_allowed(*primary, now);
+        open_connection_if_allowed(*primary, work->account, now);
         return false;
     }
     group.queue.remove(*work);
@@ -112,7 +111,7 @@
     candidate.in_flight = server.running;
     candidate.limit = statement_limit_for(work, server);
     candidate.mean_response_time = server.usual_time;
-    candidate.needs_connection = !has_idle_connection(server);
+    candidate.needs_connection = !has_idle_connection(server, work.account);
     candidate.expects_lag_refusal =
         server.newest_position < work.required_position->position && !candidate.is_primary &&
         server.lag.expects_refusal(now - work.required_position->as_of, now);
@@ -137,7 +136,7 @@
             continue;
         }
         const auto candidate = make_candidate(group, *server, *work, now);
-        if (!candidate.needs_connection || may_open_connection(*server, now)) {
+        if (!candidate.needs_connection || may_open_connection(*server, work->account, now)) {
             candidates.push_back(candidate);
         }
     }
@@ -147,14 +146,13 @@
     }
     while (const auto chosen = dispatch::choose_for_read(candidates)) {
         backend_server& target = *find_server(*chosen);
-        if (server_connection* const connection =
-                find_idle_connection(target, find_session(work->session))) {
+        if (server_connection* const connection = find_idle_connection(target, work.get())) {
             group.queue.remove(*work);
             work->queued = false;
             assign(*connection, work, now);
             return true;
         }
-        open_connection_if_allowed(target, now);
+        open_connection_if_allowed(target, work->account, now);
         // Until this connection is open, the next best server may run the statement.
         std::erase_if(candidates, [&](const dispatch::candidate& candidate) {
             return candidate.id == *chosen;
@@ -189,22 +187,25 @@
     return group.estimate.expected_wait(ahead, available_capacity(group, work, now));
 }
 
-bool proxy::has_idle_connection(const backend_server& server) const
+bool proxy::has_idle_connection(const backend_server& server, const std::string& account) const
 {
     return std::any_of(server.connections.begin(), server.connections.end(),
-                       [this](server_connection_id id) {
-                           return m_connections.at(id)->phase == detail::connection_phase::idle;
+                       [&](server_connection_id id) {
+                           const server_connection& connection = *m_connections.at(id);
+                           return connection.phase == detail::connection_phase::idle &&
+                                  connection.account == account;
                        });
 }
 
-proxy::server_connection* proxy::find_idle_connection(backend_server& server,
-                                                      const client_session* session)
+proxy::server_connection* proxy::find_idle_connection(backend_server& server, const task* work)
 {
+    const client_session* const session = work == nullptr ? nullptr : find_session(work->session);
     server_connection* best = nullptr;
     std::size_t best_cost = 0;
     for (const server_connection_id id : server.connections) {
         server_connection* const connection = find_connection(id);
-        if (connection->phase != detail::connection_phase::idle) {
+        if (connection->phase != detail::connection_phase::idle ||
+            (work != nullptr && connection->account != work->account)) {
             continue;
         }
         const std::size_t cost =
@@ -217,31 +218,75 @@
     return best;
 }
 
-bool proxy::may_open_connection(const backend_server& server, time_point now) const
+bool proxy::may_open_connection(const backend_server& server, const std::string& account,
+                                time_point now) const
 {
-    return server.connections.size() < server.connection_limit && now >= server.connect_after;
+    if (now < server.connect_after) {
+        return false;
+    }
+    return server.connections.size() < server.connection_limit ||
+           std::any_of(server.connections.begin(), server.connections.end(),
+                       [&](server_connection_id id) {
+                           const server_connection& connection = *m_connections.at(id);
+                           return connection.phase == detail::connection_phase::idle &&
+                                  connection.account != account;
+                       });
 }
 
-void proxy::open_connection_if_allowed(backend_server& server, time_point now)
+bool proxy::close_idle_connection_of_other(backend_server& server, const std::string& account,
+                                           time_point now)
 {
-    if (server.opening_connections >= max_opening || !may_open_connection(server, now)) {
+    const server_connection* oldest = nullptr;
+    for (const server_connection_id id : server.connections) {
+        const server_connection* const connection = find_connection(id);
+        if (connection->phase == detail::connection_phase::idle && connection->account != account &&
+            (oldest == nullptr || connection->idle_since < oldest->idle_since)) {
+            oldest = connection;
+        }
+    }
+    if (oldest == nullptr) {
+        return false;
+    }
+    close_connection(oldest->id, "another client account needed a connection", now);
+    return true;
+}
+
+void proxy::open_connection_if_allowed(backend_server& server, const std::string& account,
+                                       time_point now)
+{
+    if (server.opening_connections >= max_opening || !may_open_connection(server, account, now)) {
+        return;
+    }
+    const bool is_opening = std::any_of(
+        server.connections.begin(), server.connections.end(), [&](server_connection_id id) {
+            const server_connection& connection = *m_connections.at(id);
+            return connection.phase == detail::connection_phase::opening &&
+                   connection.account == account;
+        });
+    // Connections of an account can't serve others, so at most one is opened for it at a time.
+    if (is_opening && !account.empty()) {
         return;
     }
     const directory::server_record* const record = m_directory.find(server.id);
     if (record == nullptr && !is_being_released(server)) {
         return;
     }
+    if (server.connections.size() >= server.connection_limit &&
+        !close_idle_connection_of_other(server, account, now)) {
+        return;
+    }
     const server_connection_id id{m_next_connection++};
     auto opened = std::make_unique<server_connection>();
     opened->id = id;
     opened->server = server.id;
+    opened->account = account;
     opened->command_sent_at = now;
     opened->deadline = now + m_options.connect_timeout;
     m_connections.emplace(id, std::move(opened));
     server.connections.insert(id);
     ++server.opening_connections;
     const directory::server_entry& entry = record == nullptr ? server.entry : record->entry;
-    emit(open_server_connection{id, entry.host, entry.port, entry.service, entry.name});
+    emit(open_server_connection{id, entry.host, entry.port, entry.service, entry.name, account});
 }
 
 void proxy::request_watermark(database_group& group, time_point acknowledged_before, time_point now)
@@ -258,7 +303,7 @@
     }
     server_connection* const connection = find_idle_connection(*primary, nullptr);
     if (connection == nullptr) {
-        open_connection_if_allowed(*primary, now);
+        open_connection_if_allowed(*primary, {}, now);
         return;
     }
     const task_ptr work{new task};
--- a/packages/proxy/src/groups.cpp
+++ b/packages/proxy/src/groups.cpp
@@ -38,6 +38,10 @@
     log_decision(
         importance::notice, "put a configuration in force", "",
         {{"configuration", std::to_string(version.value())}, {"routes", std::to_string(routes)}});
+    for (const std::string& problem : m_routes.current().ignored_entries) {
+        log_decision(importance::failure, "ignored a malformed entry of the configuration", "",
+                     {{"configuration", std::to_string(version.value())}, {"problem", problem}});
+    }
     for (auto& [name, group] : m_groups) {
         group->watermarks.set_retention(m_routes.max_staleness() + watermark_slack);
         dispatch(*group, now);
@@ -78,7 +82,7 @@
     }
     for (const server_id id : change.added) {
         if (is_home_of(find_server(id)->service)) {
-            open_connection_if_allowed(*find_server(id), now);
+            open_connection_if_allowed(*find_server(id), {}, now);
         }
     }
 }
@@ -90,7 +94,7 @@
     m_served_groups = std::move(services);
     for (auto& [id, server] : m_servers) {
         if (server->connections.empty() && is_home_of(server->service)) {
-            open_connection_if_allowed(*server, now);
+            open_connection_if_allowed(*server, {}, now);
         }
     }
 }
--- a/packages/proxy/src/lead.cpp
+++ b/packages/proxy/src/lead.cpp
@@ -215,7 +215,7 @@
 {
     server_connection* const connection = find_idle_connection(server, nullptr);
     if (connection == nullptr) {
-        open_connection_if_allowed(server, now);
+        open_connection_if_allowed(server, {}, now);
         return false;
     }
     statement::server_command command;
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -137,7 +137,7 @@
 {
     server_connection* const connection = find_idle_connection(server, nullptr);
     if (connection == nullptr) {
-        open_connection_if_allowed(server, now);
+        open_connection_if_allowed(server, {}, now);
         return false;
     }
     const detail::replica_survey& survey = *group.survey;
@@ -285,7 +285,7 @@
         server_connection* const connection =
             server == nullptr ? nullptr : find_idle_connection(*server, nullptr);
         if (server != nullptr && connection == nullptr) {
-            open_connection_if_allowed(*server, now);
+            open_connection_if_allowed(*server, {}, now);
             continue;
         }
         group.paused_replicas.erase(id);
--- a/packages/proxy/src/timers.cpp
+++ b/packages/proxy/src/timers.cpp
@@ -237,7 +237,7 @@
     backend_server* const primary = group.primary ? find_server(*group.primary) : nullptr;
     // Without a connection, the proxy wouldn't notice that a failed primary is back.
     if (primary != nullptr && primary->connections.empty()) {
-        open_connection_if_allowed(*primary, now);
+        open_connection_if_allowed(*primary, {}, now);
     }
 }
 
--- a/packages/proxy/tests/harness.h
+++ b/packages/proxy/tests/harness.h
@@ -61,6 +61,10 @@
 
     /// Applies a configuration that has one route per read consistency, named after it. All
     /// routes lead to \p service.
+    /// Key with which clients connect, and the accounts of the next configuration.
+    std::optional<accounts::key_digest> key;
+    std::optional<accounts::account_table> accounts;
+
     void configure(std::uint64_t version = 1, std::uint32_t sync_replicas = 0,
                    const std::string& service = "ledger")
     {
@@ -81,6 +85,7 @@
         add("bounded", directory::consistency::bounded_age, 1);
         add("own", directory::consistency::read_your_writes, 2);
         made.transaction_idle_timeout = 3s;
+        made.accounts = accounts;
         made.services[service] = {33, sync_replicas};
         m_proxy.on_configuration(std::move(made), now);
         settle();
@@ -124,7 +129,7 @@
     {
         const session_id id{++m_sessions};
         m_proxy.on_client_connected(id, now);
-        m_proxy.on_client_start(id, database, now);
+        m_proxy.on_client_start(id, database, key, now);
         settle();
         return id;
     }
@@ -220,6 +225,9 @@
         return found;
     }
 
+    /// Returns the client account that a connection was opened for.
+    std::string account_of(server_connection_id id) const { return m_accounts.at(id); }
+
     bool connection_open(server_connection_id id) const { return m_connections.contains(id); }
 
     static statement::statement make(verb kind, const std::string& text)
@@ -301,6 +309,7 @@
 
     void carry_out(open_server_connection& next)
     {
+        m_accounts[next.connection] = next.account;
         const fake_server& server = servers[next.server];
         if (!server.reachable) {
             m_proxy.on_server_connection_closed(next.connection, "refused", now);
@@ -413,6 +422,7 @@
 
     proxy m_proxy;
     std::map<server_connection_id, std::string> m_connections;
+    std::map<server_connection_id, std::string> m_accounts;
     std::map<server_connection_id, bool> m_open;
     std::map<server_connection_id, bool> m_wrote;
     std::uint64_t m_sessions{0};
--- a/packages/proxy/tests/simulated_fleet.h
+++ b/packages/proxy/tests/simulated_fleet.h
@@ -692,7 +692,7 @@
         at_daemon(name, life, 50ms, [this, name, life, number](daemon& member) {
             const session_id id{number + 1};
             member.subject->on_client_connected(id, now());
-            member.subject->on_client_start(id, "orders", now());
+            member.subject->on_client_start(id, "orders", std::nullopt, now());
             run_client(name, life, id, 0);
         });
     }
--- a/packages/statement/include/gypsumstep/statement/outcome.h
+++ b/packages/statement/include/gypsumstep/statement/outcome.h
@@ -23,6 +23,7 @@
     too_many,         ///< did not run: no connection is free
     unknown_name,     ///< did not run: no such prepared statement
     unknown_database, ///< did not run: no route has this name
+    unauthorized,     ///< did not run: the key is of no client account
     malformed,        ///< did not run: not valid in this state
     failed,           ///< ran, and failed
     timeout,          ///< may have run
--- a/packages/statement/src/session_state.cpp
+++ b/packages/statement/src/session_state.cpp
@@ -17,10 +17,10 @@
 
 const char* to_string(error_class value)
 {
-    static constexpr std::array<const char*, 14> names{
-        "none",     "busy",         "aborted",          "lagging",   "read_only", "misrouted",
-        "too_many", "unknown_name", "unknown_database", "malformed", "failed",    "timeout",
-        "unknown",  "other"};
+    static constexpr std::array<const char*, 15> names{
+        "none",      "busy",     "aborted",      "lagging",          "read_only",
+        "misrouted", "too_many", "unknown_name", "unknown_database", "unauthorized",
+        "malformed", "failed",   "timeout",      "unknown",          "other"};
     return names.at(static_cast<std::size_t>(value));
 }
 
