Report fatal signals with a backtrace

A process that ended with a segmentation fault left nothing but its exit code, so the crashes on large fleets could not be traced.

gypsumstep-edge installs a handler for SIGSEGV, SIGBUS, SIGFPE, SIGILL and SIGABRT that writes one JSON line to stdout and stderr, flushes the log lines that are still buffered, and lets the default action follow.

--- a/packages/edge/src/run_edge.cpp
+++ b/packages/edge/src/run_edge.cpp
@@ -6,6 +6,7 @@
 #include "gypsumstep/adapter/node_settings.h"
 #include "gypsumstep/logging/logging.h"
 #include "gypsumstep/runtime/epoll_dispatcher.h"
+#include "gypsumstep/runtime/fatal_signal.h"
 
 #include <QCoreApplication>
 #include <QNetworkProxy>
@@ -23,6 +24,16 @@
 constexpr int exit_invalid_settings = 2;
 constexpr int exit_cannot_listen = 3;
 
+/// Reached by the handler of fatal signals.
+line_logger* fatal_output = nullptr; // NOLINT
+
+void flush_at_fatal_signal()
+{
+    if (fatal_output != nullptr) {
+        fatal_output->flush();
+    }
+}
+
 bool start_logging(line_logger& output)
 {
     logging::options options;
@@ -50,6 +61,8 @@
         return 0;
     }
     line_logger output{STDOUT_FILENO};
+    fatal_output = &output;
+    runtime::report_fatal_signals({{STDOUT_FILENO, STDERR_FILENO}, flush_at_fatal_signal});
     if (!start_logging(output)) {
         return exit_invalid_settings;
     }
@@ -69,6 +82,7 @@
     }
     logging::stop();
     output.flush();
+    fatal_output = nullptr;
     // Skips static destructors: the log library's would end its worker threads and wait for
     // them, and nothing is left to be written.
     std::quick_exit(code);
