Don't end a subscription while a message is sent to it

Cause: a reader answers a subscriber's hello with three messages. Each was flushed at once, and a flush that fails ends the subscription before it returns; the next message then used freed memory. A reader of a large domain, busy with passing on a large configuration, finds hellos of subscribers that have given up meanwhile.

Change: relay_server and relay_client queue their messages for the event loop; a subscriber that does not read is disconnected from the event loop. store_view::follow does not apply a source that was abandoned while its connection failed at once.

Measured: test_edge_relay ended with SIGSEGV in its first case before the change; after it, 1,539 assertions passed, test_edge 270 assertions passed. Not yet confirmed by a backtrace of a large fleet.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -3,6 +3,7 @@
 
 #include "gypsumstep/logging/logging.h"
 #include "gypsumstep/logging/redaction.h"
+#include "gypsumstep/runtime/fatal_signal.h"
 #include "gypsumstep/settings/settings.h"
 
 #include <QCoreApplication>
@@ -15,6 +16,8 @@
 #include <cstdio>
 #include <string_view>
 
+#include <unistd.h>
+
 // NOLINTBEGIN: absl's macros define globals
 ABSL_FLAG(std::string, settings, "", "file with the daemon's settings, JSON with comments");
 ABSL_FLAG(bool, check_settings, false, "print every problem in the settings file and stop");
@@ -76,6 +79,7 @@
     if (absl::GetFlag(FLAGS_check_settings)) {
         return 0;
     }
+    runtime::report_fatal_signals({{STDERR_FILENO, -1}, nullptr});
     if (!start_logging(*loaded.value)) {
         return exit_invalid_settings;
     }
--- a/packages/edge/src/relay_client.cpp
+++ b/packages/edge/src/relay_client.cpp
@@ -73,8 +73,9 @@
 
 void relay_client::send(const relay_message& message)
 {
+    // Not flushed: a failed write would end the subscription, and its socket, which the callers
+    // still use.
     m_socket->write(encode_relay_message(message));
-    m_socket->flush();
 }
 
 void relay_client::read()
--- a/packages/edge/src/relay_server.cpp
+++ b/packages/edge/src/relay_server.cpp
@@ -189,12 +189,18 @@
 
 void relay_server::send(subscription& subscriber, const QByteArray& bytes)
 {
+    if (subscriber.is_ending) {
+        return;
+    }
+    // Neither flushed nor aborted here: both emit signals that end the subscription, which the
+    // callers still use. The event loop writes the bytes.
     QTcpSocket* const socket = subscriber.socket;
     socket->write(bytes);
-    socket->flush();
     if (socket->bytesToWrite() > max_unread_bytes) {
         log().warn("closed a subscriber's connection", {{"cause", "it does not read"}});
-        socket->abort();
+        subscriber.is_ending = true;
+        QMetaObject::invokeMethod(
+            socket, [socket] { socket->abort(); }, Qt::QueuedConnection);
     }
 }
 
--- a/packages/edge/src/relay_server.h
+++ b/packages/edge/src/relay_server.h
@@ -56,12 +56,14 @@
         std::optional<homes::daemon_entry> daemon; ///< empty until its hello
         proxy::listing_urgency servers{proxy::listing_urgency::none};
         bool has_servers{false}; ///< the newest registrations were sent
+        bool is_ending{false};   ///< its connection is about to be closed
     };
 
     void accept();
     void read(QTcpSocket* socket);
     void on_message(subscription& subscriber, const relay_message& message);
     void remove(QTcpSocket* socket);
+    /// Queues a message. Never ends the subscription before it returns.
     void send(subscription& subscriber, const QByteArray& bytes);
     void send_status();
 
--- a/packages/edge/src/store_view.cpp
+++ b/packages/edge/src/store_view.cpp
@@ -145,6 +145,9 @@
         else {
             m_upstream_at = boot_now();
             m_relay_client.subscribe(reader->second, relay_port_of(reader->second));
+            if (m_relay_client.reader() != source.reader) {
+                return; // the connection failed at once, and another source was chosen
+            }
         }
     }
     if (source.reads_store != m_reader.is_active()) {
