Judge backend servers by the outcomes of requests

A server that failed a part of its requests while its registration was valid kept its full share of reads; reads and writes were sent to a silent server until each ran into its timeout; a retry after FAILED counted together with refusals for lag and had no budget; a watermark request that hung kept reads waiting for up to 2 s.

Homes now keep decayed outcomes of each server. A server with a quarter of failures, or one that owes an answer and has sent nothing for 200 to 400 ms, gets only probes until several succeed in a row, unless all servers of the group look bad. Reads that it owes run elsewhere within their timeout and a retry budget, also the first statement of a read-only transaction. Writes wait in the queue, where they can still be refused as not run, while the primary is silent; a BEGIN shows when it answers.

Ruled out: avoiding slow servers, since under load all are slow and reads would swing; sharing judgements among homes, since a partitioned home would spread a wrong one.

--- a/packages/edge/src/edge_metrics.cpp
+++ b/packages/edge/src/edge_metrics.cpp
@@ -16,6 +16,19 @@
     return "unknown";
 }
 
+const char* distance_label(dispatch::proximity distance)
+{
+    switch (distance) {
+    case dispatch::proximity::same_domain:
+        return "same_domain";
+    case dispatch::proximity::same_region:
+        return "same_region";
+    case dispatch::proximity::remote:
+        return "remote";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 edge_metrics::edge_metrics(metrics::registry& registry)
@@ -28,7 +41,9 @@
       m_waiting_statements{registry.make_gauge("gypsumstep_waiting_statements",
                                                "Statements that wait for a backend server")},
       m_running_statements{registry.make_gauge("gypsumstep_running_statements",
-                                               "Statements that backend servers run")}
+                                               "Statements that backend servers run")},
+      m_avoided_servers{registry.make_gauge("gypsumstep_avoided_servers",
+                                            "Backend servers that get no reads but probes")}
 {
 }
 
@@ -48,6 +63,15 @@
     if (finished.on_replica && finished.outcome == statement::error_class::none) {
         m_replica_answers.add();
     }
+    if (finished.read_distance) {
+        metrics::counter*& total = m_reads[*finished.read_distance];
+        if (total == nullptr) {
+            total = &m_registry.make_counter(
+                "gypsumstep_reads_total", "Successful reads by distance to their server",
+                {{"distance", distance_label(*finished.read_distance)}});
+        }
+        total->add();
+    }
 }
 
 void edge_metrics::count(const proxy::decision& decision)
@@ -67,6 +91,7 @@
     m_server_connections.set(static_cast<double>(numbers.server_connections));
     m_waiting_statements.set(static_cast<double>(numbers.waiting_statements));
     m_running_statements.set(static_cast<double>(numbers.running_statements));
+    m_avoided_servers.set(static_cast<double>(numbers.avoided_servers));
 }
 
 } // namespace gypsumstep::edge
--- a/packages/edge/src/edge_metrics.h
+++ b/packages/edge/src/edge_metrics.h
@@ -31,11 +31,13 @@
     metrics::registry& m_registry;
     std::map<std::pair<directory::consistency, statement::error_class>, outcome_metrics> m_outcomes;
     std::map<const char*, metrics::counter*> m_decisions;
+    std::map<dispatch::proximity, metrics::counter*> m_reads;
     metrics::counter& m_replica_answers;
     metrics::gauge& m_sessions;
     metrics::gauge& m_server_connections;
     metrics::gauge& m_waiting_statements;
     metrics::gauge& m_running_statements;
+    metrics::gauge& m_avoided_servers;
 };
 
 } // namespace gypsumstep::edge
--- a/packages/proxy/include/gypsumstep/proxy/actions.h
+++ b/packages/proxy/include/gypsumstep/proxy/actions.h
@@ -5,12 +5,14 @@
 #include "gypsumstep/base/ids.h"
 #include "gypsumstep/base/time.h"
 #include "gypsumstep/directory/route_table.h"
+#include "gypsumstep/dispatch/server_choice.h"
 #include "gypsumstep/promotion/coordinator.h"
 #include "gypsumstep/promotion/peer_message.h"
 #include "gypsumstep/statement/outcome.h"
 #include "gypsumstep/statement/server_command.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -96,6 +98,7 @@
     statement::error_class outcome{statement::error_class::none};
     duration latency{0}; ///< from the arrival of the statement to its answer
     bool on_replica{false};
+    std::optional<dispatch::proximity> read_distance; ///< to the server of a successful read
 };
 
 /// Reports that the shutdown is complete and the process may exit: all client sessions are
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -5,6 +5,7 @@
 #include "gypsumstep/directory/route_table.h"
 #include "gypsumstep/directory/server_directory.h"
 #include "gypsumstep/dispatch/server_choice.h"
+#include "gypsumstep/dispatch/server_outcomes.h"
 #include "gypsumstep/dispatch/wait_estimate.h"
 #include "gypsumstep/dispatch/wait_queue.h"
 #include "gypsumstep/freshness/watermark_history.h"
@@ -55,6 +56,7 @@
     bool queued{false};
     bool sent{false}; ///< set once the statement itself was sent, not only commands that precede it
     bool hedged{false};
+    std::uint32_t read_retries{0}; ///< retries after a server failed, lost or did not answer it
     time_point sent_at{};
     std::uint32_t attempts{0};
     server_connection_id connection; ///< the connection that it is assigned to
@@ -137,7 +139,9 @@
     std::uint32_t opening_connections{0};
     std::uint32_t connection_limit{0};
     time_point connection_limit_raised_at{};
-    duration usual_time{0};
+    dispatch::response_time_estimate response_time;
+    dispatch::server_outcomes outcomes;
+    bool reported_avoided{false}; ///< the log says that it is avoided
     dispatch::replica_lag_estimate lag;
     log_position newest_position; ///< newest log position that it reported
     promotion::server_health health;
@@ -175,6 +179,7 @@
     dispatch::wait_queue queue;
     freshness::watermark_history watermarks{duration{0}};
     dispatch::wait_estimate estimate;
+    dispatch::retry_budget read_retries;
     std::optional<server_id> primary;
     std::uint64_t primary_listing{0}; ///< newest listing when the primary was chosen
     term primary_term;
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -50,6 +50,7 @@
     std::size_t server_connections{0};
     std::size_t waiting_statements{0};
     std::size_t running_statements{0};
+    std::size_t avoided_servers{0};
 };
 
 /// Routes the statements of clients to backend servers and holds all state that this needs. All
@@ -205,6 +206,22 @@
     void requeue(const task_ptr& work, duration backoff, time_point now);
     [[nodiscard]] bool is_usable(const backend_server& server, time_point now) const;
 
+    // Servers that fail, lose or do not answer requests: outcomes.cpp.
+    void record_outcome(backend_server& server, dispatch::request_outcome outcome, time_point now);
+    void record_answer(const server_connection& connection, const statement::answer& content,
+                       time_point now);
+    void record_sign_of_life(backend_server& server);
+    void report_avoidance(backend_server& server);
+    [[nodiscard]] bool is_avoided_for(const database_group& group, const backend_server& server,
+                                      const task& work, time_point now) const;
+    [[nodiscard]] bool has_unanswered(const backend_server& server) const;
+    void check_silence(server_connection& connection, time_point now);
+    bool take_read_retry(database_group& group, task& work, time_point now);
+    [[nodiscard]] static bool may_restart(const task& work, const client_session& owner);
+    void move_read(server_connection& connection, time_point now);
+    void restart_read(const task_ptr& work, server_id failed, time_point now);
+    void probe_silent_primary(database_group& group, time_point now);
+
     // Server connections: server_side.cpp.
     void assign(server_connection& connection, const task_ptr& work, time_point now);
     void send_next_command(server_connection& connection, time_point now);
@@ -343,6 +360,7 @@
     std::optional<time_point> m_claims_requested_at;     ///< while the store is asked
     time_point m_next_claim_request{};
     std::optional<time_point> m_last_tick;
+    time_point m_resumed_at{}; ///< end of the last time during which this process was delayed
     tick_need m_tick_need{tick_need::soon};
     std::optional<shutdown_schedule> m_shutdown;
     bool m_shutdown_reported{false};
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -86,6 +86,10 @@
     if (primary == nullptr || !is_usable(*primary, now) || !is_lead_usable(group, now)) {
         return false;
     }
+    // What was not sent to a silent server can still be refused as not run.
+    if (primary->outcomes.is_silent()) {
+        return false;
+    }
     const bool takes_slot = work->kind == detail::task_kind::statement;
     if (takes_slot && primary->running >= statement_limit_for(*work, *primary)) {
         return false;
@@ -110,7 +114,7 @@
     candidate.distance = server.distance;
     candidate.in_flight = server.running;
     candidate.limit = statement_limit_for(work, server);
-    candidate.mean_response_time = server.usual_time;
+    candidate.mean_response_time = server.response_time.expected(now);
     candidate.needs_connection = !has_idle_connection(server, work.account);
     candidate.expects_lag_refusal =
         server.newest_position < work.required_position->position && !candidate.is_primary &&
@@ -129,7 +133,8 @@
     for (const backend_server* const server : group.servers) {
         const directory::server_record* const record = m_directory.find(server->id);
         if (record == nullptr || !is_usable(*server, now) ||
-            work->avoided_servers.contains(server->id)) {
+            work->avoided_servers.contains(server->id) ||
+            is_avoided_for(group, *server, *work, now)) {
             continue;
         }
         if (record->entry.draining && group.primary != server->id) {
@@ -149,6 +154,9 @@
         if (server_connection* const connection = find_idle_connection(target, work.get())) {
             group.queue.remove(*work);
             work->queued = false;
+            if (target.outcomes.is_avoided()) {
+                target.outcomes.on_probe_sent(now);
+            }
             assign(*connection, work, now);
             return true;
         }
@@ -176,6 +184,9 @@
                       make_candidate(group, *server, work, now).expects_lag_refusal) {
             continue;
         }
+        if (!work.needs_primary && is_avoided_for(group, *server, work, now)) {
+            continue;
+        }
         total += statement_limit(*server);
     }
     return total;
@@ -254,7 +265,9 @@
 void proxy::open_connection_if_allowed(backend_server& server, const std::string& account,
                                        time_point now)
 {
-    if (server.opening_connections >= max_opening || !may_open_connection(server, account, now)) {
+    // A server that may be unreachable accepts or refuses an attempt only after a long time.
+    const std::uint32_t opening_limit = server.outcomes.is_avoided() ? 1 : max_opening;
+    if (server.opening_connections >= opening_limit || !may_open_connection(server, account, now)) {
         return;
     }
     const bool is_opening = std::any_of(
@@ -291,13 +304,18 @@
 
 void proxy::request_watermark(database_group& group, time_point acknowledged_before, time_point now)
 {
-    if (group.watermark_requests > 0 && group.newest_watermark_request >= acknowledged_before) {
-        return;
-    }
     if (group.watermark_requests >= max_watermark_requests || !group.primary) {
         return;
     }
     backend_server* const primary = find_server(*group.primary);
+    // A request that hangs on its connection does not keep the reads waiting for its timeout.
+    const bool hangs =
+        primary != nullptr && now - group.newest_watermark_request >=
+                                  dispatch::silence_limit(primary->response_time.recent());
+    if (group.watermark_requests > 0 && group.newest_watermark_request >= acknowledged_before &&
+        !hangs) {
+        return;
+    }
     if (primary == nullptr || !is_usable(*primary, now) || !is_lead_usable(group, now)) {
         return;
     }
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -204,6 +204,7 @@
     }
     backend_server& server = *find_server(connection->server);
     server.health.answered(now);
+    record_sign_of_life(server);
     database_group& group = group_of(server.service);
     group.primary_term = std::max(group.primary_term, status.known_term);
     const std::string name = name_of(server.id);
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -64,6 +64,7 @@
     }
     for (const auto& [id, server] : m_servers) {
         gauges.running_statements += server->running;
+        gauges.avoided_servers += server->outcomes.is_avoided() ? 1 : 0;
     }
     return gauges;
 }
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -101,7 +101,11 @@
     }
     work->sent = true;
     work->sent_at = now;
-    send(connection, std::move(command), work->route.statement_timeout, now);
+    // A read that is retried ends within the time that its first attempt had.
+    const duration timeout = work->read_retries == 0 && !work->hedged
+                                 ? work->route.statement_timeout
+                                 : work->arrived + work->route.statement_timeout - now;
+    send(connection, std::move(command), timeout, now);
 }
 
 void proxy::send(server_connection& connection, statement::server_command command, duration timeout,
@@ -122,6 +126,8 @@
     }
     backend_server& server = *find_server(connection->server);
     server.health.answered(now);
+    record_sign_of_life(server);
+    record_answer(*connection, content, now);
     if (content.position) {
         server.newest_position = std::max(server.newest_position, *content.position);
     }
@@ -243,6 +249,9 @@
             owner != nullptr && owner->open_transaction) {
             owner->open_transaction->connection.reset();
         }
+        if (content.error == error_class::failed && !work->needs_primary) {
+            work->avoided_servers.insert(server.id);
+        }
         requeue(work, backoff, now);
     }
     if (content.state == transaction_state::idle) {
@@ -361,6 +370,11 @@
     }
     backend_server& server = *find_server(connection->server);
     server.health.failed(now);
+    record_outcome(server,
+                   connection->phase == connection_phase::opening
+                       ? dispatch::request_outcome::not_reached
+                       : dispatch::request_outcome::lost,
+                   now);
     request_tick(tick_need::soon);
     if (connection->phase == connection_phase::opening) {
         --server.opening_connections;
@@ -416,9 +430,9 @@
                   {"cause", cause},
                   {"sent_us_ago", std::to_string((now - work->sent_at).count())}});
     const bool wrote = may_have_committed(*work, *owner);
-    if (!owner->open_transaction && work->is_read && !timed_out) {
-        work->avoided_servers.insert(lost_server);
-        requeue(work, duration{0}, now);
+    if (!timed_out && may_restart(*work, *owner) &&
+        take_read_retry(group_of(service), *work, now)) {
+        restart_read(work, lost_server, now);
         dispatch(group_of(service), now);
         return;
     }
--- a/packages/proxy/src/statement_end.cpp
+++ b/packages/proxy/src/statement_end.cpp
@@ -12,13 +12,6 @@
 /// Maximum number of retries of a statement whose answers say that it did not run.
 constexpr std::uint32_t max_attempts = 30;
 
-/// Maximum number of times that a read is retried on another server after a server failed it.
-constexpr std::uint32_t max_failed_read_retries = 2;
-
-/// A server's usual time is a moving average; the weight of a new measurement is the reciprocal
-/// of this number.
-constexpr std::int64_t usual_time_smoothing = 8;
-
 /// Share of reads that may be sent to a second server (hedged), and the maximum number of such
 /// reads that may be saved up.
 constexpr double hedge_share = 0.05;
@@ -49,7 +42,7 @@
     }
     backend_server& server = *find_server(connection.server);
     const duration run_time = now - work->sent_at;
-    server.usual_time += (run_time - server.usual_time) / usual_time_smoothing;
+    server.response_time.on_measured(run_time, now);
     group_of(server.service).estimate.on_completed(run_time);
     if (content.ok()) {
         on_success(connection, work, std::move(content), now);
@@ -57,6 +50,15 @@
     }
     const client_session& owner = *find_session(work->session);
     if (owner.open_transaction) {
+        if (content.error == error_class::failed && may_restart(*work, owner) &&
+            take_read_retry(group_of(server.service), *work, now)) {
+            connection.work.reset();
+            connection.transaction_owner.reset();
+            connection.in_transaction = true;
+            restart_read(work, server.id, now);
+            roll_back(connection, now);
+            return;
+        }
         if (!retry_in_transaction(connection, work, content, now)) {
             fail_in_transaction(connection, work, std::move(content), now);
         }
@@ -100,6 +102,7 @@
     }
     if (work->is_read && !in_transaction) {
         m_hedge_credit = std::min(m_hedge_credit + hedge_share, max_hedge_credit);
+        group.read_retries.on_success();
         if (work->required_position) {
             server.lag.on_served(work->sent_at - work->required_position->as_of);
         }
@@ -175,7 +178,7 @@
         send_next_command(connection, now);
         return true;
     case error_class::failed:
-        if (!work->is_read || work->attempts >= max_failed_read_retries) {
+        if (!work->is_read || !take_read_retry(group, *work, now)) {
             return false;
         }
         work->avoided_servers.insert(server.id);
@@ -278,8 +281,11 @@
                                  : ""},
              {"configuration", std::to_string(m_routes.version().value())}});
     }
+    const auto server = m_servers.find(work->server);
+    const bool was_read = ok && work->is_read && work->sent && server != m_servers.end();
     emit(statement_finished{work->route.read_consistency, content.error, now - work->arrived,
-                            on_replica});
+                            on_replica,
+                            was_read ? std::optional{server->second->distance} : std::nullopt});
     answer(*owner, std::move(content));
     run_next_pipelined(*owner, now);
     on_session_answered(owner->id, now);
--- a/packages/proxy/src/timers.cpp
+++ b/packages/proxy/src/timers.cpp
@@ -15,10 +15,9 @@
 /// at the start and after the server refused a connection.
 constexpr duration connection_limit_raise_interval = 1s;
 
-/// A read is sent to a second server (hedged) after this multiple of its server's usual time,
-/// but not before the minimum delay.
-constexpr int hedge_multiple = 6;
-constexpr duration min_hedge_delay = 300ms;
+/// A tick that is later than requested by more than this means that this process was delayed and
+/// may have answers to read; servers do not count as silent for that time.
+constexpr duration max_tick_delay = 100ms;
 
 /// Intervals between ticks: while a statement waits for a server or a promotion runs, while
 /// commands are in progress, and otherwise.
@@ -37,6 +36,9 @@
             server->health.resumed(now);
         }
     }
+    if (m_last_tick && now - *m_last_tick > tick_interval() + max_tick_delay) {
+        m_resumed_at = now;
+    }
     m_last_tick = now;
     m_tick_need = tick_need::idle;
     check_connections(now);
@@ -73,6 +75,7 @@
         keep_primary_connected(group, now);
         update_promotion(group, now);
     }
+    probe_silent_primary(group, now);
     for (backend_server* const server : group.servers) {
         if (server->connection_limit < share_of(group.service).connections &&
             now - server->connection_limit_raised_at >= connection_limit_raise_interval) {
@@ -168,11 +171,13 @@
             request_tick(tick_need::running);
             find_server(connection->server)->health.waiting_since(connection->command_sent_at, now);
             if (now >= connection->deadline) {
+                record_outcome(*find_server(connection->server), dispatch::request_outcome::lost,
+                               now);
                 close_connection(id, "no answer in time", now);
+                break;
             }
-            else {
-                hedge_slow_read(*connection, now);
-            }
+            check_silence(*connection, now);
+            hedge_slow_read(*connection, now);
             break;
         }
     }
@@ -187,7 +192,8 @@
     }
     const client_session* const owner = find_session(work->session);
     const backend_server& server = *find_server(connection.server);
-    const duration delay = std::max(min_hedge_delay, server.usual_time * hedge_multiple);
+    const duration usual = server.response_time.recent();
+    const duration delay = dispatch::hedge_delay(usual, work->route.statement_timeout);
     if (owner == nullptr || owner->open_transaction || now - work->sent_at < delay) {
         return;
     }
@@ -195,7 +201,7 @@
     log_decision(importance::notice, "sending a read to a second server", work->request.id,
                  {{"server", name_of(server.id)},
                   {"sent_us_ago", std::to_string((now - work->sent_at).count())},
-                  {"usual_us", std::to_string(server.usual_time.count())}});
+                  {"usual_us", std::to_string(usual.count())}});
     work->hedged = true;
     work->avoided_servers.insert(server.id);
     connection.work.reset();
