--- a/packages/edge/src/daemon_roster.cpp
+++ b/packages/edge/src/daemon_roster.cpp
@@ -21,6 +21,13 @@
 /// Interval between checks of the announcement's age.
 constexpr duration check_interval = 10s;
 
+/// Delays after which the announcement is written again once the store went back: daemons that
+/// announce others with themselves come first, the others only if they are not announced by then.
+constexpr duration first_again_delay = 200ms;
+constexpr duration last_again_delay = 1400ms;
+constexpr duration first_again_delay_of_others = 1500ms;
+constexpr duration last_again_delay_of_others = 2s;
+
 /// Backoff before a failed call is retried.
 constexpr duration retry_backoff = 1s;
 
@@ -33,18 +40,38 @@
 } // namespace
 
 daemon_roster::daemon_roster(const adapter::node_settings& settings, store_clock& clock,
-                             std::uint64_t seed, roster_events events)
+                             store_era& era, std::uint64_t seed, roster_events events)
     : m_self{settings.name, settings.domain, settings.clients.host, settings.forwarding_port,
              settings.capacity},
       m_random{seed}, m_events{std::move(events)}, m_homes{settings.name, settings.domain,
                                                            settings.regions},
-      m_store{settings.store.host, settings.store.port}, m_clock{clock}
+      m_store{settings.store.host, settings.store.port, &era}, m_clock{clock}
 {
     m_announcement_timer.setSingleShot(true);
     connect(&m_announcement_timer, &QTimer::timeout, this, [this] { check_announcement(); });
+    era.add_listener([this](dropped_state& dropped) { dropped.calls += on_store_rolled_back(); });
+}
+
+std::size_t daemon_roster::on_store_rolled_back()
+{
+    const std::size_t dropped = m_store.cancel();
+    m_announcing = false;
+    if (!m_loaded) {
+        return dropped;
+    }
+    // A list of the new era tells whether this daemon is announced there.
+    m_announced_at.reset();
+    const bool others_announce = m_events.is_announced_by_another();
+    m_announce_again = !others_announce;
+    const duration delay =
+        others_announce ? m_random.between(first_again_delay_of_others, last_again_delay_of_others)
+                        : m_random.between(first_again_delay, last_again_delay);
+    m_announcement_timer.start(std::chrono::ceil<std::chrono::milliseconds>(delay));
+    return dropped;
 }
 
-void daemon_roster::on_list(const std::vector<homes::announcement>& announcements)
+void daemon_roster::on_list(const std::vector<homes::announcement>& announcements,
+                            const std::vector<homes::announcement>& carried)
 {
     std::vector<homes::daemon_entry> daemons;
     for (const homes::announcement& announcement : announcements) {
@@ -56,6 +83,11 @@
             daemons.push_back(announcement.daemon);
         }
     }
+    for (const homes::announcement& announcement : carried) {
+        if (!homes::is_expired(announcement, m_clock.now())) {
+            daemons.push_back(announcement.daemon);
+        }
+    }
     const std::vector<homes::daemon_entry> before = m_homes.daemons();
     m_homes.set_daemons(std::move(daemons));
     const bool is_first = !std::exchange(m_loaded, true);
@@ -77,7 +109,7 @@
     // After a restart, the announcement of the life before still holds for a while.
     const bool can_wait = m_events.is_announced_by_another() || !m_announced_here;
     const auto renewal_age = can_wait ? late_renewal_age : own_renewal_age;
-    if (!m_announced_at || m_clock.now() - *m_announced_at >= renewal_age) {
+    if (m_announce_again || !m_announced_at || m_clock.now() - *m_announced_at >= renewal_age) {
         announce();
     }
 }
@@ -107,6 +139,7 @@
                       adapter::outcome_of(response.value()) == promotion::call_outcome::done;
     if (done) {
         m_announced_at = time;
+        m_announce_again = false;
         m_announced_here = true;
         return;
     }
--- a/packages/edge/src/daemon_roster.h
+++ b/packages/edge/src/daemon_roster.h
@@ -33,11 +33,13 @@
 /// daemon's announcement in the store.
 class daemon_roster : public QObject {
 public:
-    daemon_roster(const adapter::node_settings& settings, store_clock& clock, std::uint64_t seed,
-                  roster_events events);
+    daemon_roster(const adapter::node_settings& settings, store_clock& clock, store_era& era,
+                  std::uint64_t seed, roster_events events);
 
     /// Passes the announcements that were read from the store.
-    void on_list(const std::vector<homes::announcement>& announcements);
+    /// \param carried announcements that the store lost when it went back and that still count
+    void on_list(const std::vector<homes::announcement>& announcements,
+                 const std::vector<homes::announcement>& carried);
 
     [[nodiscard]] homes::home_table& homes() { return m_homes; }
     [[nodiscard]] const homes::home_table& homes() const { return m_homes; }
@@ -46,6 +48,7 @@
     [[nodiscard]] bool is_loaded() const { return m_loaded; }
 
 private:
+    std::size_t on_store_rolled_back();
     void check_announcement();
     void announce();
     void on_announced(const result<adapter::http_response>& response, promotion::store_time time);
@@ -59,6 +62,7 @@
     store_clock& m_clock;
     bool m_loaded{false};
     bool m_announcing{false};
+    bool m_announce_again{false};                        ///< the store lost this daemon's one
     bool m_announced_here{false};                        ///< in this life of the process
     std::optional<promotion::store_time> m_announced_at; ///< newest announcement of this daemon
 };
--- a/packages/edge/src/edge_metrics.cpp
+++ b/packages/edge/src/edge_metrics.cpp
@@ -28,7 +28,16 @@
       m_waiting_statements{registry.make_gauge("gypsumstep_waiting_statements",
                                                "Statements that wait for a backend server")},
       m_running_statements{registry.make_gauge("gypsumstep_running_statements",
-                                               "Statements that backend servers run")}
+                                               "Statements that backend servers run")},
+      m_store_era{registry.make_gauge("gypsumstep_store_era",
+                                      "Newest known era of the store; 0 if it tells none")},
+      m_store_rollbacks{registry.make_gauge("gypsumstep_store_rollbacks",
+                                            "Times that the store went back to an earlier copy")},
+      m_store_late_answers{registry.make_gauge("gypsumstep_store_late_answers",
+                                               "Answers of an earlier era that were thrown away")},
+      m_restored_claims{
+          registry.make_gauge("gypsumstep_restored_claims",
+                              "Claims that were written again after the store had lost them")}
 {
 }
 
@@ -69,4 +78,12 @@
     m_running_statements.set(static_cast<double>(numbers.running_statements));
 }
 
+void edge_metrics::set(const store_numbers& numbers)
+{
+    m_store_era.set(static_cast<double>(numbers.era));
+    m_store_rollbacks.set(static_cast<double>(numbers.rollbacks));
+    m_store_late_answers.set(static_cast<double>(numbers.late_answers));
+    m_restored_claims.set(static_cast<double>(numbers.restored_claims));
+}
+
 } // namespace gypsumstep::edge
--- a/packages/edge/src/edge_metrics.h
+++ b/packages/edge/src/edge_metrics.h
@@ -6,12 +6,21 @@
 #include "gypsumstep/proxy/actions.h"
 #include "gypsumstep/proxy/proxy.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
 
 namespace gypsumstep::edge {
 
+/// Numbers about the store in the life of the process.
+struct store_numbers {
+    std::uint64_t era{0};             ///< newest known; 0 if the store tells none
+    std::uint64_t rollbacks{0};       ///< times that the store went back
+    std::uint64_t late_answers{0};    ///< thrown away, since they belong to an earlier era
+    std::uint64_t restored_claims{0}; ///< written again after the store had lost them
+};
+
 /// Registers the daemon's metrics and updates them. Create one per process.
 class edge_metrics {
 public:
@@ -21,6 +30,7 @@
     void count(const proxy::decision& decision);
     /// Sets the gauges.
     void set(const proxy::proxy_gauges& numbers);
+    void set(const store_numbers& numbers);
 
 private:
     struct outcome_metrics {
@@ -36,6 +46,10 @@
     metrics::gauge& m_server_connections;
     metrics::gauge& m_waiting_statements;
     metrics::gauge& m_running_statements;
+    metrics::gauge& m_store_era;
+    metrics::gauge& m_store_rollbacks;
+    metrics::gauge& m_store_late_answers;
+    metrics::gauge& m_restored_claims;
 };
 
 } // namespace gypsumstep::edge
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -73,11 +73,16 @@
     : m_settings{std::move(settings)}, m_settings_file{std::move(settings_file)},
       m_log_output{log_output}, m_metrics{m_registry}, m_proxy{proxy_options(m_settings)},
       m_peer_link{[this](const promotion::peer_message& message) {
+          // A message of a daemon that knows a later era tells that the store went back.
+          if (message.store_era > m_era.current()) {
+              (void)m_era.observe(message.store_era);
+          }
           m_proxy.on_peer_message(message, boot_now());
           run_actions();
       }},
       m_roster{m_settings,
                m_clock,
+               m_era,
                seed_of(m_settings),
                {
                    [this] { on_daemons_changed(); },
@@ -110,6 +115,7 @@
           }},
       m_store_view{m_settings,
                    m_clock,
+                   m_era,
                    seed_of(m_settings),
                    {
                        [this](directory::configuration configuration) {
@@ -123,12 +129,17 @@
                            retry_forwarded_starts();
                            run_actions();
                        },
-                       [this](const std::vector<homes::announcement>& announcements) {
-                           m_roster.on_list(announcements);
+                       [this](const std::vector<homes::announcement>& listed,
+                              const std::vector<homes::announcement>& carried) {
+                           m_roster.on_list(listed, carried);
                        },
                        [this] { return m_proxy.server_listing_urgency(); },
                    }},
-      m_promotion_executor{m_settings, m_clock, m_proxy,
+      m_promotion_executor{m_settings,
+                           m_clock,
+                           m_era,
+                           seed_of(m_settings),
+                           m_proxy,
                            [this](const std::string& service) {
                                const auto limit =
                                    m_proxy.routes().settings_of(service).max_connections;
@@ -139,6 +150,9 @@
       m_metrics_endpoint{[this](const std::string& /*path*/) { return metrics_response(); }},
       m_signal_watch{{SIGTERM, SIGINT, SIGHUP}, [this](int number) { on_signal(number); }}
 {
+    m_era.set_first_listener([this] { m_proxy.on_store_era(m_era.current(), boot_now()); });
+    m_era.add_listener(
+        [this](dropped_state& /*dropped*/) { m_proxy.on_store_era(m_era.current(), boot_now()); });
     // This daemon acts as a home of no group until the other daemons are known.
     m_proxy.set_served_groups({}, boot_now());
     m_tick_timer.setSingleShot(true);
@@ -388,6 +402,8 @@
 adapter::http_response edge_process::metrics_response()
 {
     m_metrics.set(m_proxy.gauges());
+    m_metrics.set(store_numbers{m_era.current(), m_era.rollbacks(), m_era.late_answers(),
+                                m_promotion_executor.restored_claims()});
     return {status_ok, m_registry.expose(boot_now())};
 }
 
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -12,6 +12,7 @@
 #include "server_connections.h"
 #include "session_forwarder.h"
 #include "store_clock.h"
+#include "store_era.h"
 #include "store_view.h"
 
 #include "gypsumstep/adapter/node_settings.h"
@@ -98,6 +99,7 @@
     edge_metrics m_metrics;
     proxy::proxy m_proxy;
     store_clock m_clock;
+    store_era m_era;
     peer_link m_peer_link;
     daemon_roster m_roster;
     client_listener m_client_listener;
--- a/packages/edge/src/http_client.cpp
+++ b/packages/edge/src/http_client.cpp
@@ -15,6 +15,21 @@
 
 namespace http = boost::beast::http;
 
+constexpr std::uint32_t first_error_status = 500;
+
+/// Returns the era that a response tells; 0 if it tells none.
+std::uint64_t era_of(const http::response<http::string_body>& response)
+{
+    const auto field = response.find(adapter::era_header);
+    if (field == response.end()) {
+        return 0;
+    }
+    return QByteArray::fromRawData(field->value().data(),
+                                   static_cast<qsizetype>(field->value().size()))
+        .trimmed()
+        .toULongLong();
+}
+
 /// Largest response body that is accepted, in bytes. The store sends at most 1 MB of rows.
 constexpr std::uint64_t max_answer_bytes = 8U << 20U;
 
@@ -48,8 +63,8 @@
     }
 };
 
-http_client::http_client(std::string host, std::uint16_t port)
-    : m_host{std::move(host)}, m_port{port}
+http_client::http_client(std::string host, std::uint16_t port, store_era* era)
+    : m_host{std::move(host)}, m_port{port}, m_era{era}
 {
     m_call_timer.setSingleShot(true);
     connect(&m_call_timer, &QTimer::timeout, this, [this] { fail_call("no answer in time"); });
@@ -136,6 +151,7 @@
     const bool keep_alive = response.keep_alive();
     adapter::http_response content;
     content.status = response.get().result_int();
+    content.era = era_of(response.get());
     content.body = std::move(response.get().body());
     if (!keep_alive) {
         reset_socket();
@@ -149,8 +165,32 @@
     m_parser.reset();
     const pending_call ended_call = std::move(m_pending_calls.front());
     m_pending_calls.pop_front();
+    const std::uint64_t cancelled_before = m_cancelled;
+    m_reporting = true;
+    const bool current = is_current(response);
+    m_reporting = false;
+    if (m_cancelled != cancelled_before) {
+        // The response brought a new era, in which this call was not planned.
+        return;
+    }
     send_next();
-    ended_call.on_response(response);
+    if (current) {
+        ended_call.on_response(response);
+    }
+    else {
+        ended_call.on_response(
+            error{error_code::unavailable, "the answer belongs to an earlier era of the store"});
+    }
+}
+
+bool http_client::is_current(const result<adapter::http_response>& response) const
+{
+    if (m_era == nullptr || response.has_error()) {
+        return true;
+    }
+    const adapter::http_response& answer = response.value();
+    // An error without an era may come from something before the store.
+    return (answer.era == 0 && answer.status >= first_error_status) || m_era->observe(answer.era);
 }
 
 void http_client::fail_call(const std::string& cause)
@@ -163,12 +203,15 @@
     finish_call(problem);
 }
 
-void http_client::cancel()
+std::size_t http_client::cancel()
 {
+    const std::size_t dropped = m_pending_calls.size() + (m_reporting ? 1 : 0);
+    ++m_cancelled;
     m_call_timer.stop();
     m_pending_calls.clear();
     m_parser.reset();
     reset_socket();
+    return dropped;
 }
 
 void http_client::reset_socket()
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -68,7 +68,8 @@
                             age,
                             claims,
                             releases,
-                            guests};
+                            guests,
+                            to_cbor(message.store_era)};
     return QCborValue{fields}.toCbor();
 }
 
@@ -106,6 +107,9 @@
         elements_failed = elements_failed || !element.isString();
         message.guests.push_back(element.toString().toStdString());
     });
+    if (!fields.at_end()) {
+        message.store_era = fields.number(); // daemons of earlier versions send none
+    }
     if (fields.failed() || elements_failed || message.sender.empty()) {
         return malformed;
     }
--- a/packages/edge/src/relay_codec.cpp
+++ b/packages/edge/src/relay_codec.cpp
@@ -34,7 +34,7 @@
 QCborArray encode(const relay_status& message)
 {
     return {kind_of(message_kind::status), qint64{message.failing_for.count()},
-            qint64{message.store_clock.count()}};
+            qint64{message.store_clock.count()}, to_cbor(message.era)};
 }
 
 QCborArray encode(const relay_rows& message)
@@ -44,14 +44,19 @@
         rows.append(QCborArray{to_cbor(row.key), QByteArray::fromStdString(row.value),
                                to_cbor(row.version)});
     }
-    return {kind_of(message_kind::rows), static_cast<qint64>(message.subject),
-            to_cbor(message.rows.moment.version), qint64{message.rows.moment.now.count()}, rows};
+    return {kind_of(message_kind::rows),
+            static_cast<qint64>(message.subject),
+            to_cbor(message.rows.moment.version),
+            qint64{message.rows.moment.now.count()},
+            rows,
+            to_cbor(message.rows.moment.era)};
 }
 
 QCborArray encode(const relay_unchanged& message)
 {
     return {kind_of(message_kind::unchanged), static_cast<qint64>(message.subject),
-            to_cbor(message.moment.version), qint64{message.moment.now.count()}};
+            to_cbor(message.moment.version), qint64{message.moment.now.count()},
+            to_cbor(message.moment.era)};
 }
 
 adapter::store_moment read_moment(cbor_array_reader& fields)
@@ -62,6 +67,12 @@
     return moment;
 }
 
+/// Reads the era at the end of a message; daemons of earlier versions send none.
+std::uint64_t read_era(cbor_array_reader& fields)
+{
+    return fields.at_end() ? 0 : fields.number();
+}
+
 store_subject read_subject(cbor_array_reader& fields)
 {
     return static_cast<store_subject>(fields.number(store_subject_count - 1));
@@ -92,6 +103,7 @@
         failed = failed || row.failed();
         message.rows.rows.push_back(std::move(decoded));
     });
+    message.rows.moment.era = read_era(fields);
     return message;
 }
 
@@ -116,7 +128,8 @@
     }
     case message_kind::status: {
         const duration failing_for{fields.number()};
-        message = relay_status{failing_for, promotion::store_time{fields.number()}};
+        const promotion::store_time store_clock{fields.number()};
+        message = relay_status{failing_for, store_clock, read_era(fields)};
         break;
     }
     case message_kind::rows:
@@ -124,7 +137,9 @@
         break;
     case message_kind::unchanged: {
         const store_subject subject = read_subject(fields);
-        message = relay_unchanged{subject, read_moment(fields)};
+        relay_unchanged unchanged{subject, read_moment(fields)};
+        unchanged.moment.era = read_era(fields);
+        message = unchanged;
         break;
     }
     default:
--- a/packages/edge/src/relay_codec.h
+++ b/packages/edge/src/relay_codec.h
@@ -36,6 +36,7 @@
 struct relay_status {
     duration failing_for{0}; ///< how long the reader's calls to the store have failed
     promotion::store_time store_clock{0};
+    std::uint64_t era{0}; ///< newest era of the store that the reader knows; 0 if it knows none
 
     friend bool operator==(const relay_status&, const relay_status&) = default;
 };
--- a/packages/edge/src/relay_server.cpp
+++ b/packages/edge/src/relay_server.cpp
@@ -187,6 +187,18 @@
     }
 }
 
+void relay_server::on_store_rolled_back()
+{
+    for (const store_subject list : {store_subject::servers, store_subject::daemons}) {
+        m_newest.at(index_of(list)).reset();
+    }
+    for (auto& [socket, subscriber] : m_subscriptions) {
+        subscriber->has_servers = false;
+    }
+    // The status tells the subscribers of the new era at once.
+    send_status();
+}
+
 void relay_server::send(subscription& subscriber, const QByteArray& bytes)
 {
     QTcpSocket* const socket = subscriber.socket;
--- a/packages/edge/src/relay_server.h
+++ b/packages/edge/src/relay_server.h
@@ -43,6 +43,10 @@
     /// \param changed whether it differs from the reading before in what subscribers use
     void publish(store_subject subject, const adapter::stored_rows& rows, bool changed);
 
+    /// Forgets the lists of the store's era before, so that the next ones are sent whole. The
+    /// configuration is kept, since its own version decides whether another one replaces it.
+    void on_store_rolled_back();
+
     /// Returns how urgently any subscriber needs the servers' registrations.
     [[nodiscard]] proxy::listing_urgency server_listing_urgency() const;
 
--- a/packages/edge/src/store_reader.cpp
+++ b/packages/edge/src/store_reader.cpp
@@ -27,6 +27,10 @@
 constexpr duration first_backoff = 100ms;
 constexpr duration usual_max_backoff = 1s;
 
+/// Longest delay of the lists after the store went back; random, so that the daemons do not all
+/// read them at the same time. The configuration is read at once.
+constexpr duration longest_restart_delay = 250ms;
+
 const logging::logger& log()
 {
     static const logging::logger instance{"store"};
@@ -41,10 +45,11 @@
 } // namespace
 
 store_reader::store_reader(
-    const adapter::endpoint& store, std::uint64_t seed,
+    const adapter::endpoint& store, store_era& era, std::uint64_t seed,
     std::function<void(store_subject, const adapter::stored_rows&)> rows_read)
-    : m_rows_read{std::move(rows_read)}, m_random{seed}, m_feed_client{store.host, store.port},
-      m_read_client{store.host, store.port}, m_max_backoff{usual_max_backoff}
+    : m_rows_read{std::move(rows_read)}, m_random{seed}, m_feed_client{store.host, store.port,
+                                                                       &era},
+      m_read_client{store.host, store.port, &era}, m_max_backoff{usual_max_backoff}
 {
     m_configuration_timer.setSingleShot(true);
     connect(&m_configuration_timer, &QTimer::timeout, this, [this] { read_configuration(); });
@@ -134,6 +139,37 @@
         });
 }
 
+std::size_t store_reader::restart()
+{
+    const std::size_t dropped = m_feed_client.cancel() + m_read_client.cancel();
+    ++m_feed_run;
+    m_version = 0;
+    m_history_gone = false;
+    m_configuration_backoff = duration{0};
+    m_configuration_timer.stop();
+    for (const store_subject list : {store_subject::servers, store_subject::daemons}) {
+        list_state& state = m_lists.at(index_of(list));
+        const bool was_reading = std::exchange(state.reading, false);
+        state.backoff = duration{0};
+        state.read_at.reset();
+        state.again_after.reset();
+        if (m_active) {
+            schedule(list, m_random.between(duration{0}, longest_restart_delay));
+        }
+        else if (was_reading) {
+            read_list(list);
+        }
+    }
+    const bool was_reading_configuration = std::exchange(m_reading_configuration, false);
+    if (m_active) {
+        read_configuration();
+    }
+    else if (was_reading_configuration) {
+        read_now(store_subject::configuration);
+    }
+    return dropped;
+}
+
 duration store_reader::failing_for(time_point now) const
 {
     return m_failing_since ? now - *m_failing_since : duration{0};
@@ -168,18 +204,32 @@
                                            : adapter::decode_rows(response.value());
     if (rows.has_error()) {
         const bool history_gone = is_feed && rows.error().code == error_code::not_found;
-        if (!history_gone) {
+        // A store that has gone back without telling an era refuses the position that follows from
+        // the full reading, too, if that was answered before.
+        const bool again = std::exchange(m_history_gone, history_gone);
+        if (history_gone) {
+            log().info("the store does not have the feed's position; reading the configuration",
+                       {{"position", m_version}});
+            m_version = 0;
+        }
+        else {
             on_failure(rows.error().message, asked_at);
+        }
+        if (!history_gone || again) {
             m_configuration_backoff = next_backoff(m_configuration_backoff);
         }
         const duration delay =
-            history_gone ? duration{0}
-                         : m_random.between(m_configuration_backoff / 2, m_configuration_backoff);
+            history_gone && !again
+                ? duration{0}
+                : m_random.between(m_configuration_backoff / 2, m_configuration_backoff);
         m_configuration_timer.start(to_milliseconds(delay));
         return;
     }
     on_success();
-    m_configuration_backoff = duration{0};
+    if (is_feed || !m_history_gone) {
+        m_history_gone = false;
+        m_configuration_backoff = duration{0};
+    }
     m_version = std::max(m_version, rows.value().moment.version);
     m_rows_read(store_subject::configuration, rows.value());
     if (m_active) {
--- a/packages/edge/src/store_reader.h
+++ b/packages/edge/src/store_reader.h
@@ -26,7 +26,7 @@
 class store_reader : public QObject {
 public:
     /// \param rows_read receives all rows of a subject, or those of the configuration that changed
-    store_reader(const adapter::endpoint& store, std::uint64_t seed,
+    store_reader(const adapter::endpoint& store, store_era& era, std::uint64_t seed,
                  std::function<void(store_subject, const adapter::stored_rows&)> rows_read);
 
     /// Starts or stops to follow the store.
@@ -45,6 +45,11 @@
     /// Reads a subject at once, also while not active, unless it is being read already.
     void read_now(store_subject subject);
 
+    /// Drops all calls and what was read so far, and reads everything again in full. Must be called
+    /// when the store's era has changed.
+    /// \return the number of dropped calls
+    std::size_t restart();
+
     /// Returns for how long the calls to the store have failed; zero if they succeed or none was
     /// made since it became active.
     [[nodiscard]] duration failing_for(time_point now) const;
@@ -84,6 +89,7 @@
     std::uint64_t m_feed_run{0};         ///< distinguishes the feed's calls before a stop
     bool m_reading_configuration{false}; ///< apart from the feed
     std::uint64_t m_version{0};          ///< newest version of the store that the feed knows
+    bool m_history_gone{false};          ///< the store did not have the feed's last position
     duration m_configuration_backoff{0};
     duration m_max_backoff;
     std::optional<time_point> m_failing_since;
--- a/packages/edge/src/store_view.cpp
+++ b/packages/edge/src/store_view.cpp
@@ -6,6 +6,7 @@
 #include "gypsumstep/relay/reader_order.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace gypsumstep::edge {
@@ -49,6 +50,11 @@
 /// it.
 constexpr duration servers_wanted_for = 5s;
 
+/// After the store went back, time within which the servers have written their registrations
+/// again, and within which the daemons have announced themselves again and these lists were read.
+constexpr duration servers_settle_time = 2500ms;
+constexpr duration daemons_settle_time = 5s;
+
 constexpr duration min_reload_interval = 500ms;
 
 /// Backoff before the first list of daemons is asked for again.
@@ -74,10 +80,10 @@
 
 } // namespace
 
-store_view::store_view(const adapter::node_settings& settings, store_clock& clock,
+store_view::store_view(const adapter::node_settings& settings, store_clock& clock, store_era& era,
                        std::uint64_t seed, store_events events)
-    : m_self{entry_of(settings)}, m_is_bootstrap{settings.is_bootstrap}, m_clock{clock},
-      m_events{std::move(events)}, m_reader{settings.store, seed,
+    : m_self{entry_of(settings)}, m_is_bootstrap{settings.is_bootstrap}, m_clock{clock}, m_era{era},
+      m_events{std::move(events)}, m_reader{settings.store, era, seed,
                                             [this](store_subject subject,
                                                    const adapter::stored_rows& rows) {
                                                 on_rows(subject, rows);
@@ -85,7 +91,7 @@
       m_relay_server{{
           [this] { update_intervals(); },
           [this] {
-              return relay_status{failing_for(boot_now()), m_clock.now()};
+              return relay_status{failing_for(boot_now()), m_clock.now(), m_era.current()};
           },
       }},
       m_relay_client{m_self,
@@ -103,6 +109,37 @@
     m_bootstrap_timer.setSingleShot(true);
     connect(&m_bootstrap_timer, &QTimer::timeout, this,
             [this] { m_reader.read_now(store_subject::daemons); });
+    m_era.add_listener([this](dropped_state& dropped) { on_store_rolled_back(dropped); });
+}
+
+void store_view::on_store_rolled_back(dropped_state& dropped)
+{
+    for (std::uint64_t& version : m_versions) {
+        dropped.readings += version == 0 ? 0 : 1;
+        version = 0;
+    }
+    m_rolled_back = true;
+    m_rolled_back_at = boot_now();
+    m_first_version.reset();
+    m_servers_before = m_servers_in_use;
+    m_announcements_before = m_announcements;
+    m_relay_server.on_store_rolled_back();
+    dropped.calls += m_reader.restart();
+}
+
+bool store_view::accept(store_subject subject, const adapter::store_moment& moment)
+{
+    // Without an era, a reader may not know it yet, which tells nothing about the store.
+    if (moment.era != 0 && !m_era.observe(moment.era)) {
+        return false;
+    }
+    std::uint64_t& newest = m_versions.at(index_of(subject));
+    if (moment.version < newest) {
+        return false;
+    }
+    newest = moment.version;
+    m_first_version = m_first_version.value_or(moment.version);
+    return true;
 }
 
 bool store_view::start()
@@ -179,7 +216,8 @@
         break;
     }
     m_reader.set_interval(store_subject::servers, interval);
-    const bool is_starting = now - m_first_list_at < starting_time;
+    const bool is_starting = now - m_first_list_at < starting_time ||
+                             (m_rolled_back && now - m_rolled_back_at < daemons_settle_time);
     m_reader.set_interval(store_subject::daemons, is_starting ? starting_list_interval
                                                   : shares    ? shared_list_interval
                                                               : own_list_interval);
@@ -208,11 +246,9 @@
 
 void store_view::on_rows(store_subject subject, const adapter::stored_rows& rows)
 {
-    std::uint64_t& newest = m_versions.at(index_of(subject));
-    if (rows.moment.version < newest) {
+    if (!accept(subject, rows.moment)) {
         return;
     }
-    newest = rows.moment.version;
     m_clock.set(rows.moment.now);
     bool changed = false;
     switch (subject) {
@@ -243,6 +279,12 @@
     if (!read.value()) {
         return false;
     }
+    if (m_configuration && read.value()->version < *m_configuration) {
+        log().info(
+            "the store holds an older configuration than the one in force, which stays",
+            {{"in_force", m_configuration->value()}, {"in_store", read.value()->version.value()}});
+        return false;
+    }
     const bool changed = m_configuration != read.value()->version;
     m_configuration = read.value()->version;
     m_events.configuration_read(std::move(*read.value()));
@@ -255,10 +297,42 @@
     report_malformed(store_subject::servers, read.malformed);
     const bool changed = read.servers != m_servers;
     m_servers = std::move(read.servers);
-    m_events.servers_read(m_servers);
+    m_server_versions.clear();
+    for (const adapter::stored_row& row : rows.rows) {
+        m_server_versions.emplace(row.key, row.version);
+    }
+    pass_on_servers();
     return changed;
 }
 
+void store_view::pass_on_servers()
+{
+    if (!m_rolled_back || boot_now() - m_rolled_back_at >= servers_settle_time) {
+        m_servers_in_use = m_servers;
+    }
+    else {
+        // A row of the copy may name a former primary, or a server that is gone.
+        const auto is_written_again = [this](const directory::server_entry& entry) {
+            const auto version = m_server_versions.find(entry.name);
+            return version != m_server_versions.end() && version->second > m_first_version;
+        };
+        m_servers_in_use.clear();
+        std::set<std::string> names;
+        for (const directory::server_entry& entry : m_servers) {
+            if (is_written_again(entry)) {
+                names.insert(entry.name);
+                m_servers_in_use.push_back(entry);
+            }
+        }
+        for (const directory::server_entry& entry : m_servers_before) {
+            if (!names.contains(entry.name)) {
+                m_servers_in_use.push_back(entry);
+            }
+        }
+    }
+    m_events.servers_read(m_servers_in_use);
+}
+
 bool store_view::apply_daemons(const adapter::stored_rows& rows)
 {
     const adapter::announcement_rows read = adapter::announcements_of(rows);
@@ -278,14 +352,28 @@
     return changed;
 }
 
-void store_view::set_daemons(const std::vector<homes::announcement>& announcements)
+void store_view::set_daemons(std::vector<homes::announcement> listed)
 {
+    std::vector<homes::announcement> carried;
+    if (m_rolled_back && boot_now() - m_rolled_back_at < daemons_settle_time) {
+        std::set<std::string> names;
+        for (const homes::announcement& announcement : listed) {
+            names.insert(announcement.daemon.name);
+        }
+        for (const homes::announcement& announcement : m_announcements_before) {
+            if (!names.contains(announcement.daemon.name)) {
+                carried.push_back(announcement);
+            }
+        }
+    }
     if (++m_lists_read == 1) {
         m_first_list_at = boot_now();
     }
-    m_events.daemons_read(announcements);
+    m_events.daemons_read(listed, carried);
+    m_announcements = std::move(listed);
+    m_announcements.insert(m_announcements.end(), carried.begin(), carried.end());
     std::vector<homes::daemon_entry> daemons;
-    for (const homes::announcement& announcement : announcements) {
+    for (const homes::announcement& announcement : m_announcements) {
         if (!homes::is_expired(announcement, m_clock.now())) {
             daemons.push_back(announcement.daemon);
         }
@@ -312,6 +400,9 @@
 {
     const time_point now = boot_now();
     if (const auto* status = std::get_if<relay_status>(&message)) {
+        if (status->era != 0 && !m_era.observe(status->era)) {
+            return;
+        }
         m_upstream = *status;
         m_upstream_at = now;
         m_clock.set(status->store_clock);
@@ -324,13 +415,8 @@
         on_rows(read->subject, read->rows);
     }
     else if (const auto* again = std::get_if<relay_unchanged>(&message)) {
-        std::uint64_t& newest = m_versions.at(index_of(again->subject));
-        if (again->moment.version < newest) {
-            return;
-        }
-        newest = again->moment.version;
-        if (again->subject == store_subject::servers) {
-            m_events.servers_read(m_servers);
+        if (accept(again->subject, again->moment) && again->subject == store_subject::servers) {
+            pass_on_servers();
         }
     }
     else {
--- a/packages/edge/src/store_view.h
+++ b/packages/edge/src/store_view.h
@@ -28,7 +28,10 @@
 struct store_events {
     std::function<void(directory::configuration)> configuration_read;
     std::function<void(const std::vector<directory::server_entry>&)> servers_read;
-    std::function<void(const std::vector<homes::announcement>&)> daemons_read;
+    /// Receives the listed announcements, and those of an earlier era that still count.
+    std::function<void(const std::vector<homes::announcement>& listed,
+                       const std::vector<homes::announcement>& carried)>
+        daemons_read;
     /// Returns how soon this daemon needs the registrations again.
     std::function<proxy::listing_urgency()> server_listing_urgency;
 };
@@ -36,12 +39,17 @@
 /// Follows the store. In a failure domain of many daemons a few of them read it and pass its
 /// contents on; see relay::source_choice.
 ///
-/// A reading that is older than one known already, by the store's version, is ignored, whatever
-/// way it came.
+/// A reading that is older than one known already, by the store's era and version, is ignored,
+/// whatever way it came.
+///
+/// When the store goes back to a copy of its contents, everything is read again. For a short time
+/// what the daemon knew of the servers and daemons counts against rows of the copy, until their
+/// writers have written them again. A configuration is only replaced by a newer one, by its own
+/// version.
 class store_view : public QObject {
 public:
-    store_view(const adapter::node_settings& settings, store_clock& clock, std::uint64_t seed,
-               store_events events);
+    store_view(const adapter::node_settings& settings, store_clock& clock, store_era& era,
+               std::uint64_t seed, store_events events);
 
     /// Listens for subscribers and starts to follow the store; false if the address cannot be
     /// used.
@@ -72,12 +80,16 @@
     }
 
 private:
+    void on_store_rolled_back(dropped_state& dropped);
+    /// Records the version of a reading; false if it is older than what is known.
+    [[nodiscard]] bool accept(store_subject subject, const adapter::store_moment& moment);
+    void pass_on_servers();
     void on_rows(store_subject subject, const adapter::stored_rows& rows);
     bool apply_configuration(const adapter::stored_rows& rows);
     bool apply_servers(const adapter::stored_rows& rows);
     bool apply_daemons(const adapter::stored_rows& rows);
     void on_relay_message(const std::string& reader, const relay_message& message);
-    void set_daemons(const std::vector<homes::announcement>& announcements);
+    void set_daemons(std::vector<homes::announcement> listed);
     void follow(const relay::source& source);
     void update_intervals();
     void report_malformed(store_subject subject, const std::vector<std::string>& rows);
@@ -87,6 +99,7 @@
     const homes::daemon_entry m_self;
     const bool m_is_bootstrap;
     store_clock& m_clock;
+    store_era& m_era;
     store_events m_events;
     store_reader m_reader;
     relay_server m_relay_server;
@@ -100,7 +113,17 @@
     time_point m_first_list_at{};
     time_point m_next_first_read{};
     std::array<std::uint64_t, store_subject_count> m_versions{}; ///< newest reading, by subject
-    std::vector<directory::server_entry> m_servers;
+    std::vector<directory::server_entry> m_servers;              ///< as listed
+    std::map<std::string, std::uint64_t> m_server_versions;      ///< of their rows
+    std::vector<directory::server_entry> m_servers_in_use;       ///< as passed on
+    std::vector<homes::announcement> m_announcements;            ///< as passed on
+    /// What was in use when the store went back.
+    std::vector<directory::server_entry> m_servers_before;
+    std::vector<homes::announcement> m_announcements_before;
+    /// Version of the first reading of the era; rows with later ones were written in the era.
+    std::optional<std::uint64_t> m_first_version;
+    time_point m_rolled_back_at{};
+    bool m_rolled_back{false};
     std::vector<homes::daemon_entry> m_daemons; ///< as last passed on
     time_point m_daemons_passed_on_at{};
     std::optional<config_version> m_configuration; ///< version last passed on
--- a/packages/edge/tests/test_store_view.cpp
+++ b/packages/edge/tests/test_store_view.cpp
@@ -45,6 +45,7 @@
 struct daemon {
     adapter::node_settings settings;
     store_clock clock;
+    store_era era;
     std::vector<directory::configuration> configurations;
     std::vector<std::vector<directory::server_entry>> lists;
     std::size_t daemon_lists{0};
@@ -71,7 +72,7 @@
     void start()
     {
         view = std::make_unique<store_view>(
-            settings, clock, 1,
+            settings, clock, era, 1,
             store_events{
                 [this](directory::configuration next) {
                     configurations.push_back(std::move(next));
@@ -79,9 +80,8 @@
                 [this](const std::vector<directory::server_entry>& servers) {
                     lists.push_back(servers);
                 },
-                [this](const std::vector<homes::announcement>& /*announcements*/) {
-                    ++daemon_lists;
-                },
+                [this](const std::vector<homes::announcement>& /*listed*/,
+                       const std::vector<homes::announcement>& /*carried*/) { ++daemon_lists; },
                 [this] { return urgency; },
             });
         REQUIRE(view->start());
--- a/packages/promotion/include/gypsumstep/promotion/claim_exchange.h
+++ b/packages/promotion/include/gypsumstep/promotion/claim_exchange.h
@@ -58,6 +58,11 @@
     /// out, and what they sent last has arrived.
     static constexpr duration release_timeout = permit_lifetime + 300ms;
 
+    /// A daemon learned of the store's era, at its start or because the store went back to a copy
+    /// of its contents. Claims that the store lost are there again after this time at the latest:
+    /// coordinator::claims_restored_after, and the time until the last daemon notices.
+    static constexpr duration claims_settle_time = 3s;
+
     /// Interval between questions to the daemon that reads the store for the others.
     static constexpr duration ask_interval = 300ms;
 
@@ -90,6 +95,11 @@
     /// Declares that this daemon uses the primary of a group.
     void follow(const std::string& service);
 
+    /// Records that this daemon has learned of an era of the store, the first one or a later one.
+    /// The store may lack the newest claims, so for claims_settle_time reading it proves nothing,
+    /// and only the homes' answers allow to use a primary. Ends all hand-overs.
+    void on_store_era(std::uint64_t era, time_point now);
+
     /// Records all claims that the store had when it was asked at \p asked_at.
     void on_claims_read(const std::vector<claim_notice>& claims, time_point asked_at);
 
@@ -169,6 +179,9 @@
     std::map<std::string, release_notice, std::less<>> m_releases;
     std::map<std::string, hand_over, std::less<>> m_hand_overs;
     std::optional<time_point> m_known_until; ///< all claims that the store had then are known
+    std::uint64_t m_store_era{0};
+    std::optional<time_point> m_settles_at; ///< readings asked for before prove nothing
+    std::optional<time_point> m_read_at;    ///< when the newest reading of the store was asked for
     std::map<std::string, time_point, std::less<>> m_contacts; ///< when answered daemons were asked
     std::map<std::string, time_point, std::less<>> m_home_questions; ///< when homes were asked last
     std::map<std::uint64_t, time_point> m_questions;         ///< unanswered: when they were asked
--- a/packages/promotion/include/gypsumstep/promotion/coordinator.h
+++ b/packages/promotion/include/gypsumstep/promotion/coordinator.h
@@ -148,6 +148,14 @@
     /// daemons still use it. They stop within the grace period of the directory.
     static constexpr duration unlisted_delay = 5s;
 
+    /// Time after the store went back to a copy of its contents within which the daemons have
+    /// written the lost claims again. Covers the time to notice and claim_restore_delay.
+    static constexpr duration claims_restored_after = 2s;
+
+    /// Longest delay with which a daemon writes lost claims again; random, so that one daemon
+    /// does so before the others.
+    static constexpr duration claim_restore_delay = 1200ms;
+
     /// Where the platform does not refuse old tokens, an order is sent only while the claim will be
     /// respected for at least this long.
     static constexpr duration order_margin = 1s;
@@ -165,6 +173,11 @@
     void on_handed_over(const hand_over_result& result, time_point now);
     void on_order(call_outcome outcome, time_point now);
 
+    /// Drops what was read and claimed before the store went back to a copy of its contents. The
+    /// next attempt begins once the claims that the store lost are there again.
+    /// \return whether a promotion was in progress that used the store's contents
+    bool on_store_rolled_back(time_point now);
+
     /// Returns the actions to carry out, in order, and clears them.
     [[nodiscard]] std::vector<action> take_actions();
 
@@ -206,6 +219,7 @@
     void claim_lead(time_point now);
     void write(claim next, step following, time_point now);
     void send_order(time_point now);
+    [[nodiscard]] static bool is_leased(const claim& value, store_time now);
     [[nodiscard]] bool holds_claim(const shared_state& state) const;
     void retry_after(duration backoff, time_point now);
     void finish();
--- a/packages/promotion/include/gypsumstep/promotion/peer_message.h
+++ b/packages/promotion/include/gypsumstep/promotion/peer_message.h
@@ -44,6 +44,7 @@
     /// not learned of the store's claims yet. Answers only.
     std::optional<duration> age;
     std::vector<release_notice> releases; ///< answers only
+    std::uint64_t store_era{0};           ///< newest that the sender knows; 0 if it knows none
     std::vector<std::string> guests; ///< answers only: recent askers that the sender has not listed
 
     friend bool operator==(const peer_message&, const peer_message&) = default;
--- a/packages/promotion/src/claim_exchange.cpp
+++ b/packages/promotion/src/claim_exchange.cpp
@@ -24,9 +24,23 @@
     for (const claim_notice& notice : claims) {
         learn(notice);
     }
+    m_read_at = asked_at;
+    if (m_settles_at && asked_at < *m_settles_at) {
+        // The homes may tell what the store lost; until then no permit follows from this reading.
+        m_known_until = m_known_until.value_or(asked_at - permit_lifetime);
+        return;
+    }
     m_known_until = std::max(m_known_until.value_or(asked_at), asked_at);
 }
 
+void claim_exchange::on_store_era(std::uint64_t era, time_point now)
+{
+    m_store_era = era;
+    m_settles_at = now + claims_settle_time;
+    m_hand_overs.clear();
+    m_home_questions.clear();
+}
+
 void claim_exchange::learn(const claim_notice& notice)
 {
     const auto [place, added] = m_claims.emplace(notice.service, notice);
@@ -87,7 +101,8 @@
                            : place == 1 ? second_read_age
                                         : last_read_age;
     const auto known = age(now);
-    return !known || *known >= limit;
+    const bool was_read = m_read_at && now - *m_read_at < limit;
+    return !was_read && (!known || *known >= limit);
 }
 
 void claim_exchange::release(release_notice notice)
@@ -237,6 +252,7 @@
     answer.sender = m_daemon;
     answer.number = question.number;
     answer.is_answer = true;
+    answer.store_era = m_store_era;
     answer.age = age(now);
     std::map<std::string_view, std::uint64_t> asked;
     for (const claim_notice& notice : question.claims) {
@@ -273,6 +289,7 @@
     peer_message question;
     question.sender = m_daemon;
     question.number = m_next_number++;
+    question.store_era = m_store_era;
     for (const auto& [service, claim] : m_claims) {
         question.claims.push_back(claim);
     }
@@ -323,7 +340,8 @@
 void claim_exchange::ask_homes(time_point now)
 {
     const auto known = age(now);
-    if (known && *known < home_ask_age) {
+    const bool is_settled = !m_settles_at || now >= *m_settles_at;
+    if (is_settled && known && *known < home_ask_age) {
         return;
     }
     for (const std::string& service : m_followed) {
--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -144,7 +144,7 @@
         return;
     }
     if (state->current_claim && state->current_claim->holder != m_daemon &&
-        state->now - state->current_claim->claimed_at < claim_lease) {
+        is_leased(*state->current_claim, state->now)) {
         retry_after(retry_backoff, now);
         return;
     }
@@ -160,6 +160,26 @@
     }
 }
 
+bool coordinator::is_leased(const claim& value, store_time now)
+{
+    // The store's clock never stands before a claim's time, unless it was set back with the store.
+    return value.claimed_at <= now && now - value.claimed_at < claim_lease;
+}
+
+bool coordinator::on_store_rolled_back(time_point now)
+{
+    m_shared.reset();
+    m_actions.clear();
+    if (m_step == step::idle || m_step == step::ordered) {
+        return false;
+    }
+    const bool had_begun = m_step != step::waiting;
+    m_step = step::waiting;
+    m_step_deadline = now + m_random.between(claims_restored_after,
+                                             claims_restored_after + first_call_jitter * 2);
+    return had_begun;
+}
+
 bool coordinator::holds_claim(const shared_state& state) const
 {
     return state.current_claim && state.current_claim->holder == m_claim.holder &&
--- a/packages/promotion/tests/test_claim_exchange.cpp
+++ b/packages/promotion/tests/test_claim_exchange.cpp
@@ -285,3 +285,26 @@
     fleet.run(claim_exchange::second_ask_age + claim_exchange::ask_interval);
     CHECK_FALSE(fleet["d3"].allows("ledger", "p"));
 }
+
+// LOST: a daemon that reads the store after a claim was lost there would let the former primary
+// lead, while the claim's target takes writes.
+TEST_CASE("after the store went back, only homes that may know of lost claims allow to lead")
+{
+    exchanges fleet{{"a", "b", "c"}};
+    fleet["a"].on_store_era(2, fleet.now);
+    CHECK_FALSE(fleet["a"].is_permitted("ledger", fleet.now + claim_exchange::permit_lifetime));
+    fleet.unreachable = {"b", "c"};
+    fleet["a"].on_claims_read({}, fleet.now + 1s);
+    CHECK_FALSE(
+        fleet["a"].is_permitted("ledger", fleet.now + claim_exchange::permit_lifetime + 100ms));
+    fleet["a"].on_claims_read({}, fleet.now + claim_exchange::claims_settle_time);
+    CHECK(fleet["a"].is_permitted("ledger", fleet.now + claim_exchange::claims_settle_time + 1s));
+
+    // The homes answer at once.
+    fleet.unreachable.clear();
+    fleet["b"].on_store_era(2, fleet.now);
+    fleet["c"].learn({"ledger", 5, "r2"});
+    fleet.run(100ms);
+    CHECK(fleet["b"].newest("ledger")->token == 5);
+    CHECK(fleet["b"].is_permitted("ledger", fleet.now));
+}
--- a/packages/promotion/tests/test_coordinator.cpp
+++ b/packages/promotion/tests/test_coordinator.cpp
@@ -578,3 +578,34 @@
     REQUIRE(find_action<survey_replicas>(daemon.actions));
     CHECK(find_action<survey_replicas>(daemon.actions)->servers == std::vector<std::string>{"r1"});
 }
+
+// ONE: with the store, the claim that another daemon orders under may be gone.
+TEST_CASE("after the store went back, a promotion begins anew once lost claims are there again")
+{
+    coordinator_driver daemon;
+    const group_state group = survey_lost_primary(daemon);
+    daemon.collect();
+    REQUIRE(find_action<write_claim>(daemon.actions));
+    const time_point back = daemon.now;
+    CHECK(daemon.subject.on_store_rolled_back(back));
+    // Answers of the era before are of no use any more.
+    daemon.subject.on_claim_written(call_outcome::done, daemon.now);
+    daemon.collect();
+    CHECK(daemon.actions.empty());
+    daemon.run(group, 4s);
+    CHECK(find_action<read_shared_state>(daemon.actions));
+    CHECK(daemon.now - back >= coordinator::claims_restored_after);
+}
+
+TEST_CASE("a claim from a time that the store's clock has not reached yet is not respected")
+{
+    coordinator_driver daemon;
+    group_state group = healthy_group();
+    group.primary.reset();
+    daemon.run(group);
+    shared_state state = empty_store();
+    state.current_claim = claim{"d2", 4, "r1", state.now + store_time{60'000}, {}};
+    daemon.subject.on_shared_state(state, daemon.now);
+    daemon.collect();
+    CHECK(find_action<survey_replicas>(daemon.actions));
+}
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -98,6 +98,16 @@
                         time_point now);
     void on_peer_message(const promotion::peer_message& message, time_point now);
 
+    /// Sets the era of the store that this daemon has learned of, the first one or a later one.
+    void on_store_era(std::uint64_t era, time_point now);
+
+    /// Drops what promotions have read and claimed in an earlier era of the store.
+    /// \return the number of promotions that had begun
+    std::size_t on_store_rolled_back(time_point now);
+
+    /// Returns the highest fencing token of a group that other daemons told; 0 if none did.
+    [[nodiscard]] std::uint64_t newest_token(const std::string& service) const;
+
     // Results of promotion steps.
     void on_shared_state(const std::string& service,
                          const std::optional<promotion::shared_state>& state, time_point now);
--- a/packages/proxy/src/lead.cpp
+++ b/packages/proxy/src/lead.cpp
@@ -60,6 +60,19 @@
     send_peer_messages(now);
 }
 
+void proxy::on_store_era(std::uint64_t era, time_point now)
+{
+    if (m_exchange) {
+        m_exchange->on_store_era(era, now);
+    }
+}
+
+std::uint64_t proxy::newest_token(const std::string& service) const
+{
+    const promotion::claim_notice* const claim = m_exchange ? m_exchange->newest(service) : nullptr;
+    return claim == nullptr ? 0 : claim->token;
+}
+
 void proxy::on_peer_message(const promotion::peer_message& message, time_point now)
 {
     if (!m_exchange) {
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -307,6 +307,20 @@
     }
 }
 
+std::size_t proxy::on_store_rolled_back(time_point now)
+{
+    m_claims_requested_at.reset();
+    std::size_t dropped = 0;
+    for (auto& [service, group] : m_groups) {
+        if (group->promotion.on_store_rolled_back(now)) {
+            ++dropped;
+            group->survey.reset();
+        }
+    }
+    request_tick(tick_need::soon);
+    return dropped;
+}
+
 void proxy::on_suspicion_written(const std::string& service, promotion::call_outcome outcome,
                                  time_point now)
 {
--- a/testing/soak/soak_run.cpp
+++ b/testing/soak/soak_run.cpp
@@ -6,6 +6,7 @@
 #include <QDir>
 #include <QEventLoop>
 
+#include <algorithm>
 #include <utility>
 
 namespace gypsumstep::soak {
@@ -29,6 +30,20 @@
 constexpr std::chrono::milliseconds longest_pause{900};
 constexpr std::chrono::milliseconds longest_fault{2500};
 
+/// The store tells its era, and goes back, in this share of the runs.
+constexpr double store_drill_share = 0.75;
+
+/// Most drills of a run; time between the copy and the loss of the store; time until it is back;
+/// and time until the operator has written the newest configuration again.
+constexpr std::uint64_t most_drills = 2;
+constexpr std::chrono::milliseconds longest_copy_age{3000};
+constexpr std::chrono::milliseconds longest_absence{800};
+constexpr std::chrono::milliseconds longest_operator_delay{1000};
+
+/// Share of the drills in which the primary crashes right after the copy, so that its replacement
+/// is in what the store loses.
+constexpr double crash_share = 0.6;
+
 /// Replication lag without a fault: enough that a read which ignores it misses the last write of
 /// its session.
 constexpr std::chrono::milliseconds default_replica_delay{60};
@@ -59,6 +74,7 @@
 
 soak_run::soak_run(run_options options)
     : m_options{std::move(options)}, m_random{derive_seed(m_options.seed, 1)},
+      m_drill_random{derive_seed(m_options.seed, 3)},
       m_group{service,
               derive_seed(m_options.seed, 2),
               {
@@ -66,6 +82,7 @@
                   [this](const auto& entry) { m_oracle.committed(entry); },
                   [this](const auto& entry) { m_oracle.rolled_back(entry); },
               }},
+      m_tells_era{m_drill_random.chance(store_drill_share)},
       m_store{[this](const adapter::standins::promotion_order& order) {
                   record_event("promotion of " + order.target + " by " + order.holder +
                                " with token " + std::to_string(order.token));
@@ -77,6 +94,7 @@
         m_server_links.at(index) = std::make_unique<fault_proxy>(m_group.listen(index));
         m_server_ports.at(index) = m_server_links.at(index)->listen();
     }
+    m_store.set_era(m_tells_era ? 1 : 0);
     m_group.set_replica_delay(default_replica_delay);
     m_group.set_lost_answers(default_lost_answers);
     m_store_link = std::make_unique<fault_proxy>(m_store.listen());
@@ -103,11 +121,11 @@
     const std::vector<route_text> routes{
         {"orders", primary_route}, {"lookups", bounded_route}, {"schedules", own_commits_route}};
     m_configuration_version += 1 + m_random.below(3);
-    m_store.put(
-        operator_table, configuration_key,
+    m_configuration =
         configuration_text(m_configuration_version, service, routes,
                            static_cast<std::uint32_t>(oracle::staleness.count()),
-                           statement_timeout_ms + static_cast<std::uint32_t>(m_random.below(200))));
+                           statement_timeout_ms + static_cast<std::uint32_t>(m_random.below(200)));
+    m_store.put(operator_table, configuration_key, m_configuration);
 }
 
 void soak_run::write_odd_entries()
@@ -205,6 +223,64 @@
                        [this] { m_store.set_trouble(store_trouble::none); });
 }
 
+void soak_run::schedule_store_drills()
+{
+    if (!m_tells_era) {
+        return;
+    }
+    m_planned_drills = 1 + m_drill_random.below(most_drills);
+    const auto part = m_options.fault_time / static_cast<std::int64_t>(m_planned_drills);
+    for (std::size_t drill = 0; drill < m_planned_drills; ++drill) {
+        // Within its part of the run, so that drills do not overlap.
+        const duration latest = std::max(duration{part - longest_copy_age - longest_absence},
+                                         duration{std::chrono::milliseconds{200}});
+        const auto begin = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_drill_random.between(duration{0}, latest));
+        QTimer::singleShot(part * static_cast<std::int64_t>(drill) + begin, this,
+                           [this] { begin_store_drill(); });
+    }
+}
+
+void soak_run::begin_store_drill()
+{
+    const auto time_up_to = [this](std::chrono::milliseconds longest) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_drill_random.between(duration{longest} / 10, duration{longest}));
+    };
+    record_event("drill: the store takes a copy");
+    m_store.take_copy();
+    const bool crashes = m_drill_random.chance(crash_share);
+    const auto primary = m_group.primary();
+    if (crashes && primary) {
+        record_event("drill: crash of server " + std::to_string(*primary));
+        m_group.crash(*primary);
+        QTimer::singleShot(longest_fault, this,
+                           [this, server = *primary] { m_group.restart(server); });
+    }
+    const auto age = time_up_to(longest_copy_age);
+    const auto absence = time_up_to(longest_absence);
+    const bool silent = m_drill_random.chance(0.5);
+    QTimer::singleShot(age, this, [this, silent] {
+        record_event("drill: the store is away");
+        m_store.set_trouble(silent ? store_trouble::silent : store_trouble::refusing);
+    });
+    QTimer::singleShot(age + absence, this, [this] { end_store_drill(); });
+}
+
+void soak_run::end_store_drill()
+{
+    record_event("drill: the store is back from the copy");
+    m_store.go_back();
+    m_store.set_trouble(store_trouble::none);
+    ++m_ended_drills;
+    QTimer::singleShot(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           m_drill_random.between(duration{0}, duration{longest_operator_delay})),
+                       this, [this] {
+                           m_store.put(adapter::standins::operator_table,
+                                       adapter::standins::configuration_key, m_configuration);
+                       });
+}
+
 void soak_run::inject_link_fault(fault_proxy& link, const std::string& name)
 {
     constexpr std::array<std::pair<link_fault, const char*>, 4> kinds{
@@ -260,6 +336,9 @@
 {
     // Active faults are ended by their own timers.
     wait(longest_fault);
+    while (m_ended_drills < m_planned_drills) {
+        wait(longest_absence);
+    }
     m_daemons->resume_paused();
     record_event("the last fault is over");
 }
@@ -314,6 +393,7 @@
             [this] { return m_daemons->client_port(m_random.below(m_daemons->size())); },
             m_oracle));
     }
+    schedule_store_drills();
     const auto end = std::chrono::steady_clock::now() + m_options.fault_time;
     while (std::chrono::steady_clock::now() < end) {
         wait(random_time(longest_pause));
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -45,7 +45,10 @@
     /// \return the violated guarantees, followed by the run's faults; empty if all held
     [[nodiscard]] std::vector<std::string> play();
 
-    [[nodiscard]] std::string counts() const { return m_oracle.counts(); }
+    [[nodiscard]] std::string counts() const
+    {
+        return m_oracle.counts() + "; " + std::to_string(m_ended_drills) + " store drills";
+    }
 
 private:
     void write_configuration();
@@ -54,6 +57,10 @@
     void write_registrations();
     void inject_random_fault();
     void inject_store_fault();
+    /// Plans the drills of the run: the store takes a copy, is away, and comes back from the copy.
+    void schedule_store_drills();
+    void begin_store_drill();
+    void end_store_drill();
     void inject_server_fault();
     void inject_link_fault(fault_proxy& link, const std::string& name);
     void request_primary_replacement();
@@ -68,8 +75,10 @@
 
     run_options m_options;
     random_source m_random;
+    random_source m_drill_random; ///< apart, so that the other faults of a seed stay the same
     oracle m_oracle;
     adapter::standins::group_standin m_group;
+    bool m_tells_era; ///< the store tells its era, and goes back
     adapter::standins::store_standin m_store;
     std::unique_ptr<fault_proxy> m_store_link;
     std::array<std::unique_ptr<fault_proxy>, adapter::standins::group_standin::server_count>
@@ -79,6 +88,9 @@
     std::vector<std::unique_ptr<soak_client>> m_clients;
     QTimer m_registration_timer;
     std::uint64_t m_configuration_version{1};
+    std::string m_configuration; ///< the operator's newest
+    std::size_t m_planned_drills{0};
+    std::size_t m_ended_drills{0};
     std::vector<std::string> m_events;
     std::chrono::steady_clock::time_point m_started_at{std::chrono::steady_clock::now()};
 };
