--- a/packages/edge/tests/test_store_view.cpp
+++ b/packages/edge/tests/test_store_view.cpp
@@ -45,6 +45,7 @@
 struct daemon {
     adapter::node_settings settings;
     store_clock clock;
+    store_era era;
     std::vector<directory::configuration> configurations;
     std::vector<std::vector<directory::server_entry>> lists;
     std::size_t daemon_lists{0};
@@ -71,7 +72,7 @@
     void start()
     {
         view = std::make_unique<store_view>(
-            settings, clock, 1,
+            settings, clock, era, 1,
             store_events{
                 [this](directory::configuration next) {
                     configurations.push_back(std::move(next));
@@ -79,9 +80,8 @@
                 [this](const std::vector<directory::server_entry>& servers) {
                     lists.push_back(servers);
                 },
-                [this](const std::vector<homes::announcement>& /*announcements*/) {
-                    ++daemon_lists;
-                },
+                [this](const std::vector<homes::announcement>& /*listed*/,
+                       const std::vector<homes::announcement>& /*carried*/) { ++daemon_lists; },
                 [this] { return urgency; },
             });
         REQUIRE(view->start());
@@ -224,6 +224,31 @@
     CHECK(here.run([&] { return here[0].knows(2) && here[5].knows(2); }));
 }
 
+// CONFIG: a daemon that is told the store's contents by another has no call of its own that shows
+// the store's era.
+TEST_CASE("a daemon behind a reader follows the store back, and keeps the newest configuration")
+{
+    site here{6};
+    here.store.set_era(4);
+    here[0].start();
+    here[5].start();
+    REQUIRE(here.run([&] { return here[5].knows(1) && here[5].era.current() == 4; }));
+    REQUIRE_FALSE(here[5].view->reads_store());
+    here.store.take_copy();
+    here.configure(2);
+    here.configure(3);
+    REQUIRE(here.run([&] { return here[5].knows(3); }));
+    here.store.go_back();
+    REQUIRE(here.run([&] { return here[5].era.current() == 5; }));
+    CHECK(here[5].era.rollbacks() == 1);
+    // A daemon that starts now gets the newest configuration from the reader, not the copy's.
+    here[4].start();
+    CHECK(here.run([&] { return here[4].knows(3); }));
+    CHECK(here[5].knows(3));
+    here.configure(4);
+    CHECK(here.run([&] { return here[5].knows(4) && here[4].knows(4); }));
+}
+
 TEST_CASE("a reader that shuts down is left before it ends")
 {
     site here{6};
@@ -240,11 +265,11 @@
     const std::vector<relay_message> messages{
         relay_hello{{"d1", "a", "10.0.0.1", 7441, 120}},
         relay_urgency{proxy::listing_urgency::soon},
-        relay_status{1500ms, promotion::store_time{99}},
+        relay_status{1500ms, promotion::store_time{99}, 3},
         relay_rows{
             store_subject::servers,
-            {{{"i-1", std::string{"\x00\xff{", 3}, 7, false}}, {}, {9, promotion::store_time{5}}}},
-        relay_unchanged{store_subject::daemons, {10, promotion::store_time{6}}},
+            {{{"i-1", std::string{"\x00\xff{", 3}, 7, false}}, {}, {9, promotion::store_time{5}, 3}}},
+        relay_unchanged{store_subject::daemons, {10, promotion::store_time{6}, 3}},
     };
     QByteArray bytes;
     for (const relay_message& message : messages) {
