--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -57,6 +57,7 @@
     options.seed = seed_of(settings);
     options.shutdown_grace = settings.shutdown_grace;
     options.old_primary_stops = settings.old_primary_stops;
+    options.detects_outliers = settings.detects_outliers;
     options.accounts_required = settings.accounts_required;
     return options;
 }
--- a/packages/proxy/include/gypsumstep/proxy/options.h
+++ b/packages/proxy/include/gypsumstep/proxy/options.h
@@ -57,6 +57,10 @@
     /// accounts.
     bool accounts_required{false};
 
+    /// Whether servers that fail, lose or do not answer requests get fewer of them. Off where the
+    /// platform's liveness checks can be relied on.
+    bool detects_outliers{true};
+
     /// Maximum number of statements of a session that wait for an earlier one to finish.
     std::size_t max_pipelined{16};
 
--- a/packages/proxy/src/outcomes.cpp
+++ b/packages/proxy/src/outcomes.cpp
@@ -18,6 +18,9 @@
 void proxy::record_outcome(backend_server& server, dispatch::request_outcome outcome,
                            time_point now)
 {
+    if (!m_options.detects_outliers) {
+        return;
+    }
     server.outcomes.on_outcome(outcome, now);
     report_avoidance(server);
 }
@@ -116,6 +119,9 @@
 
 void proxy::check_silence(server_connection& connection, time_point now)
 {
+    if (!m_options.detects_outliers) {
+        return;
+    }
     backend_server& server = *find_server(connection.server);
     time_point silent_since = std::max(connection.command_sent_at, m_resumed_at);
     if (const auto last_answer = server.health.last_answer()) {
