Pass on what has changed instead of everything

Cause: a reader sent each subject whole to all daemons of its domain at each change, and all of them took it from the first reader. The configuration and the list of daemons grow with the fleet, so the reader's bytes grew with its square.

Change: a reader sends a subscriber all rows of a subject once, compressed, and then the rows that have changed; of a large row such as the configuration it sends the parts that have changed. Each change names the moment that it applies to and the digest of its result. A subscriber that misses one leaves the reader and gets the whole set again. A hello tells the digests of the rows that the subscriber has, so a new subscription transfers only the subjects that differ. A domain has one reader for 32 daemons, two at least, and its daemons are spread over them; a reader takes at most 64 subscribers. Daemons of the version before get whole sets.

Not run: the fleets of 30, 100 and 300 VMs.

--- a/packages/edge/src/relay_client.cpp
+++ b/packages/edge/src/relay_client.cpp
@@ -31,6 +31,7 @@
     unsubscribe();
     m_reader = reader.name;
     m_decoder = {};
+    m_is_current = {};
     m_socket = new QTcpSocket{this};
     connect(m_socket, &QTcpSocket::connected, this, [this] { on_connected(); });
     connect(m_socket, &QTcpSocket::readyRead, this, [this] { read(); });
@@ -54,7 +55,13 @@
 void relay_client::on_connected()
 {
     set_socket_options(*m_socket, reader_keepalive);
-    send(relay_hello{m_self});
+    row_digests digests{};
+    for (const store_subject subject : all_store_subjects) {
+        if (const auto& rows = m_rows.at(index_of(subject))) {
+            digests.at(index_of(subject)) = digest_of(rows->rows.rows);
+        }
+    }
+    send(relay_hello{m_self, digests});
     if (m_urgency != proxy::listing_urgency::none) {
         send(relay_urgency{m_urgency});
     }
@@ -84,7 +91,7 @@
     m_decoder.feed(socket->readAll());
     // Handling a message may end the subscription or start another one.
     while (m_socket == socket) {
-        const auto message = m_decoder.next();
+        auto message = m_decoder.next();
         if (message.has_error()) {
             on_lost(message.error().message);
             return;
@@ -92,9 +99,48 @@
         if (!message.value()) {
             return;
         }
+        const auto completed = complete(std::move(*message.value()));
+        if (!completed) {
+            on_lost("a message of the reader is missing");
+            return;
+        }
         const std::string reader = *m_reader;
-        m_events.received(reader, *message.value());
+        m_events.received(reader, *completed);
+    }
+}
+
+std::optional<relay_message> relay_client::complete(relay_message message)
+{
+    if (const auto* whole = std::get_if<relay_rows>(&message)) {
+        m_rows.at(index_of(whole->subject)) = *whole;
+        m_is_current.at(index_of(whole->subject)) = true;
+    }
+    else if (const auto* again = std::get_if<relay_unchanged>(&message)) {
+        auto& rows = m_rows.at(index_of(again->subject));
+        if (!rows) {
+            return std::nullopt;
+        }
+        rows->rows.moment = again->moment;
+        // The first message says that the reader has the rows that this daemon got from a reader
+        // before. It may have read others from the store since, so they are passed on again.
+        if (!std::exchange(m_is_current.at(index_of(again->subject)), true)) {
+            return *rows;
+        }
+    }
+    else if (const auto* changes = std::get_if<relay_changes>(&message)) {
+        auto& rows = m_rows.at(index_of(changes->subject));
+        const bool fits = m_is_current.at(index_of(changes->subject)) &&
+                          rows->rows.moment == changes->base &&
+                          apply_changes(rows->rows.rows, changes->changes) &&
+                          digest_of(rows->rows.rows) == changes->digest;
+        if (!fits) {
+            rows.reset();
+            return std::nullopt;
+        }
+        rows->rows.moment = changes->moment;
+        return *rows;
     }
+    return message;
 }
 
 void relay_client::on_lost(const std::string& cause)
--- a/packages/edge/src/relay_codec.h
+++ b/packages/edge/src/relay_codec.h
@@ -2,6 +2,7 @@
 /// Messages between a daemon that reads the store and those that take its contents from it.
 #pragma once
 
+#include "row_changes.h"
 #include "store_subject.h"
 
 #include "gypsumstep/adapter/store_calls.h"
@@ -12,14 +13,20 @@
 
 #include <QByteArray>
 
+#include <array>
+#include <cstdint>
 #include <optional>
 #include <variant>
 
 namespace gypsumstep::edge {
 
+/// Hashes of the rows that a subscriber has, by subject; 0 for none. See digest_of().
+using row_digests = std::array<std::uint64_t, store_subject_count>;
+
 /// Subscribes the sender.
 struct relay_hello {
-    homes::daemon_entry daemon; ///< to be announced with the reader's own announcement
+    homes::daemon_entry daemon;         ///< to be announced with the reader's own announcement
+    std::optional<row_digests> digests; ///< empty from a daemon that takes whole sets only
 
     friend bool operator==(const relay_hello&, const relay_hello&) = default;
 };
@@ -56,8 +63,20 @@
     friend bool operator==(const relay_unchanged&, const relay_unchanged&) = default;
 };
 
-using relay_message =
-    std::variant<relay_hello, relay_urgency, relay_status, relay_rows, relay_unchanged>;
+/// A subject was read again, with other contents than those sent before. The first message about a
+/// subject is never this one.
+struct relay_changes {
+    store_subject subject{store_subject::configuration};
+    adapter::store_moment base; ///< of the message about this subject before
+    adapter::store_moment moment;
+    row_changes changes;     ///< to the rows as of that message
+    std::uint64_t digest{0}; ///< of the changed rows
+
+    friend bool operator==(const relay_changes&, const relay_changes&) = default;
+};
+
+using relay_message = std::variant<relay_hello, relay_urgency, relay_status, relay_rows,
+                                   relay_unchanged, relay_changes>;
 
 /// Largest encoded message, in bytes. A list of 6,000 daemons or servers has half of it.
 inline constexpr qsizetype max_relay_message_bytes = 8 << 20;
@@ -65,6 +84,10 @@
 /// Encodes a message as a length of four bytes, most significant first, and CBOR.
 [[nodiscard]] QByteArray encode_relay_message(const relay_message& message);
 
+/// Encodes a message compressed if it is large. Only for a subscriber whose hello has digests:
+/// older daemons cannot read it.
+[[nodiscard]] QByteArray encode_compressed(const relay_message& message);
+
 /// Decodes messages from a stream of bytes.
 class relay_decoder {
 public:
--- a/packages/edge/src/relay_server.cpp
+++ b/packages/edge/src/relay_server.cpp
@@ -3,6 +3,7 @@
 #include "socket_options.h"
 
 #include "gypsumstep/logging/logging.h"
+#include "gypsumstep/relay/reader_order.h"
 
 #include <QHostAddress>
 
@@ -19,6 +20,10 @@
 /// is disconnected.
 constexpr qint64 max_unread_bytes = 2 * static_cast<qint64>(max_relay_message_bytes);
 
+/// Subscribers at most: those of a reader, and those of another one that is lost. More turn to the
+/// next reader.
+constexpr std::size_t max_subscribers = 2 * relay::daemons_per_reader;
+
 constexpr keepalive_settings subscriber_keepalive{1, 1, 2, 2500};
 
 const logging::logger& log()
@@ -54,6 +59,13 @@
 void relay_server::accept()
 {
     while (QTcpSocket* const socket = m_server.nextPendingConnection()) {
+        if (m_subscriptions.size() >= max_subscribers) {
+            log().warn("refused a subscriber: this daemon has as many as it serves",
+                       {{"address", socket->peerAddress().toString().toStdString()}});
+            socket->abort();
+            socket->deleteLater();
+            continue;
+        }
         socket->setParent(this);
         set_socket_options(*socket, subscriber_keepalive);
         auto accepted = std::make_unique<subscription>();
@@ -117,10 +129,11 @@
 {
     if (const auto* hello = std::get_if<relay_hello>(&message)) {
         subscriber.daemon = hello->daemon;
+        subscriber.digests = hello->digests;
         send(subscriber, encode_relay_message(m_events.status()));
         for (const store_subject subject : {store_subject::configuration, store_subject::daemons}) {
-            if (const auto& newest = m_newest.at(index_of(subject))) {
-                send(subscriber, encode_relay_message(*newest));
+            if (m_newest.at(index_of(subject))) {
+                send_newest(subscriber, subject);
             }
         }
         return;
@@ -131,59 +144,74 @@
         return;
     }
     subscriber.servers = urgency->servers;
-    const auto& newest = m_newest.at(index_of(store_subject::servers));
+    constexpr std::size_t servers = index_of(store_subject::servers);
     if (urgency->servers == proxy::listing_urgency::none) {
-        subscriber.has_servers = false;
+        subscriber.is_current.at(servers) = false;
     }
-    else if (!subscriber.has_servers && newest) {
-        subscriber.has_servers = true;
-        send(subscriber, encode_relay_message(*newest));
+    else if (!subscriber.is_current.at(servers) && m_newest.at(servers)) {
+        send_newest(subscriber, store_subject::servers);
     }
     m_events.urgency_changed();
 }
 
+void relay_server::send_newest(subscription& subscriber, store_subject subject)
+{
+    const std::size_t index = index_of(subject);
+    const relay_rows& newest = *m_newest.at(index);
+    subscriber.is_current.at(index) = true;
+    if (!subscriber.digests) {
+        send(subscriber, encode_relay_message(newest));
+        return;
+    }
+    if (std::exchange(subscriber.digests->at(index), m_digests.at(index)) == m_digests.at(index)) {
+        send(subscriber, encode_relay_message(relay_unchanged{subject, newest.rows.moment}));
+        return;
+    }
+    if (m_encoded.at(index).isEmpty()) {
+        m_encoded.at(index) = encode_compressed(newest);
+    }
+    send(subscriber, m_encoded.at(index));
+}
+
 void relay_server::publish(store_subject subject, const adapter::stored_rows& rows, bool changed)
 {
-    auto& newest = m_newest.at(index_of(subject));
-    const bool is_first = !newest;
-    if (changed || is_first) {
+    const std::size_t index = index_of(subject);
+    auto& newest = m_newest.at(index);
+    QByteArray changes;
+    if (changed || !newest) {
+        m_digests.at(index) = digest_of(rows.rows);
+        if (newest && !m_subscriptions.empty()) {
+            changes = encode_relay_message(
+                relay_changes{subject, newest->rows.moment, rows.moment,
+                              changes_between(newest->rows.rows, rows.rows), m_digests.at(index)});
+        }
         newest = relay_rows{subject, rows};
     }
     else {
         newest->rows.moment = rows.moment;
     }
-    QByteArray whole;
-    QByteArray unchanged;
-    const std::vector<QTcpSocket*> sockets = [this] {
-        std::vector<QTcpSocket*> all;
-        for (const auto& [socket, subscriber] : m_subscriptions) {
-            all.push_back(socket);
-        }
-        return all;
-    }();
-    for (QTcpSocket* const socket : sockets) {
-        const auto found = m_subscriptions.find(socket);
-        if (found == m_subscriptions.end() || !found->second->daemon) {
+    m_encoded.at(index).clear();
+    const QByteArray unchanged =
+        encode_relay_message(relay_unchanged{subject, newest->rows.moment});
+    for (const auto& [socket, subscriber] : m_subscriptions) {
+        if (!subscriber->daemon) {
             continue;
         }
-        subscription& subscriber = *found->second;
-        const bool is_servers = subject == store_subject::servers;
-        if (is_servers && subscriber.servers == proxy::listing_urgency::none) {
-            subscriber.has_servers = false;
-            continue;
+        if (subject == store_subject::servers &&
+            subscriber->servers == proxy::listing_urgency::none) {
+            subscriber->is_current.at(index) = false;
         }
-        if (changed || is_first || (is_servers && !subscriber.has_servers)) {
-            if (whole.isEmpty()) {
-                whole = encode_relay_message(*newest);
-            }
-            subscriber.has_servers = subscriber.has_servers || is_servers;
-            send(subscriber, whole);
-            continue;
+        else if (!subscriber->is_current.at(index) ||
+                 (!changes.isEmpty() && !subscriber->digests)) {
+            send_newest(*subscriber, subject);
+        }
+        else if (changes.isEmpty()) {
+            send(*subscriber, unchanged);
         }
-        if (unchanged.isEmpty()) {
-            unchanged = encode_relay_message(relay_unchanged{subject, rows.moment});
+        else {
+            subscriber->digests->at(index) = m_digests.at(index);
+            send(*subscriber, changes);
         }
-        send(subscriber, unchanged);
     }
 }
 
--- a/packages/edge/src/relay_server.h
+++ b/packages/edge/src/relay_server.h
@@ -28,7 +28,9 @@
 };
 
 /// Accepts the subscriptions of other daemons and sends them what this daemon reads from the
-/// store: each subject whole when it has changed, and otherwise that it has not.
+/// store: of each subject all rows to a daemon that does not have them, and from then on the rows
+/// that have changed, or that none has. So its bytes grow with the number of subscribers, which is
+/// limited, times what has changed.
 class relay_server : public QObject {
 public:
     explicit relay_server(relay_server_events events);
@@ -55,14 +57,18 @@
         relay_decoder decoder;
         std::optional<homes::daemon_entry> daemon; ///< empty until its hello
         proxy::listing_urgency servers{proxy::listing_urgency::none};
-        bool has_servers{false}; ///< the newest registrations were sent
-        bool is_ending{false};   ///< its connection is about to be closed
+        std::optional<row_digests> digests; ///< of the rows that it has
+        /// By subject: the newest rows were sent, or it had them.
+        std::array<bool, store_subject_count> is_current{};
+        bool is_ending{false}; ///< its connection is about to be closed
     };
 
     void accept();
     void read(QTcpSocket* socket);
     void on_message(subscription& subscriber, const relay_message& message);
     void remove(QTcpSocket* socket);
+    /// Sends all rows of a subject, or that it has them already.
+    void send_newest(subscription& subscriber, store_subject subject);
     /// Queues a message. Never ends the subscription before it returns.
     void send(subscription& subscriber, const QByteArray& bytes);
     void send_status();
@@ -72,6 +78,9 @@
     QTimer m_status_timer;
     std::map<QTcpSocket*, std::unique_ptr<subscription>> m_subscriptions;
     std::array<std::optional<relay_rows>, store_subject_count> m_newest; ///< by subject
+    row_digests m_digests{};                                             ///< of m_newest
+    /// Encoded m_newest, since many daemons may subscribe at once; empty until it is needed.
+    std::array<QByteArray, store_subject_count> m_encoded;
 };
 
 } // namespace gypsumstep::edge
--- a/packages/edge/src/store_view.cpp
+++ b/packages/edge/src/store_view.cpp
@@ -303,7 +303,8 @@
         }
     }
     const time_point now = boot_now();
-    m_choice.set_readers(std::move(names), now);
+    m_choice.set_readers(std::move(names), now,
+                         relay::places_for(m_self.name, m_self.domain, daemons));
     if (m_is_bootstrap && m_lists_read == 1 && m_readers.empty()) {
         m_bootstrap_timer.start(bootstrap_wait);
         return;
--- a/packages/edge/tests/test_relay_server.cpp
+++ b/packages/edge/tests/test_relay_server.cpp
@@ -5,12 +5,13 @@
 #include "relay_server.h"
 
 #include "gypsumstep/base/random.h"
+#include "gypsumstep/relay/reader_order.h"
 
 #include <catch2/catch.hpp>
 
 #include <QTcpServer>
 
-#include <array>
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -40,7 +41,8 @@
 {
     std::string value;
     for (std::size_t route = 0; route < routes; ++route) {
-        value += std::to_string(route * version) + std::string(196, 'r');
+        const bool is_changed = route % 1000 == version % 1000;
+        value += '{' + std::to_string(route) + std::string(196, is_changed ? 's' : 'r') + '}';
     }
     return {{{"config", std::move(value), version, false}}, {}, {version, {}}};
 }
@@ -114,7 +116,7 @@
 
 QByteArray hello(const std::string& name)
 {
-    return encode_relay_message(relay_hello{{name, "a", "127.0.0.1", 7000, 120}});
+    return encode_relay_message(relay_hello{{name, "a", "127.0.0.1", 7000, 120}, row_digests{}});
 }
 
 /// A server that has read the store once.
@@ -141,6 +143,46 @@
     }
 };
 
+/// Rows of 300 daemons, of which one was announced again.
+adapter::stored_rows with_one_change(adapter::stored_rows rows, std::uint64_t version)
+{
+    rows.rows.at(version % rows.rows.size()).value += "again";
+    rows.moment.version = version;
+    return rows;
+}
+
+/// A daemon that takes the store's contents from others, and what it has of them.
+struct follower {
+    std::map<store_subject, adapter::stored_rows> rows;
+    std::size_t whole_sets{0}; ///< messages with rows
+    std::size_t lost{0};
+    relay_client client{
+        homes::daemon_entry{"follower", "a", "127.0.0.1", 1, 100},
+        relay_client_events{
+            [this](const std::string&, const relay_message& message) { on_message(message); },
+            [this](const std::string&) { ++lost; }}};
+
+    void on_message(const relay_message& message)
+    {
+        if (const auto* read = std::get_if<relay_rows>(&message)) {
+            ++whole_sets;
+            rows[read->subject] = read->rows;
+        }
+        else if (const auto* again = std::get_if<relay_unchanged>(&message)) {
+            rows[again->subject].moment = again->moment;
+        }
+    }
+
+    [[nodiscard]] bool has(store_subject subject, const adapter::stored_rows& expected) const
+    {
+        const auto found = rows.find(subject);
+        return found != rows.end() && found->second.moment == expected.moment &&
+               digest_of(found->second.rows) == digest_of(expected.rows);
+    }
+};
+
+const homes::daemon_entry reader_entry{"reader", "a", "127.0.0.1", 1, 100};
+
 void run_events(int rounds)
 {
     for (int round = 0; round < rounds; ++round) {
@@ -276,3 +318,191 @@
         return lost >= 200;
     }));
 }
+
+// Traffic of large fleets: each change of one row sent all rows to each subscriber, so that a
+// reader's bytes grew with the square of the number of daemons.
+TEST_CASE("a subscriber that has the other rows gets the changed ones only")
+{
+    reader here;
+    raw_subscriber subscriber{here.port};
+    subscriber.send(hello("s"));
+    REQUIRE(run_until([&] { return here.server->subscribers().size() == 1; }));
+    qsizetype first = 0;
+    adapter::stored_rows rows = daemon_rows(1, 300);
+    const auto read_all = [&] {
+        qsizetype size = 0;
+        for (int round = 0; round < 50; ++round) {
+            run_events(1);
+            size += subscriber.read(1U << 20U).size();
+        }
+        return size;
+    };
+    REQUIRE(run_until([&] { return (first += read_all()) > 2000; }));
+    (void)read_all();
+    for (std::uint64_t version = 2; version < 6; ++version) {
+        rows = with_one_change(rows, version);
+        here.server->publish(store_subject::daemons, rows, true);
+        CHECK(read_all() < 600); // a row of some 160 bytes, and perhaps a status
+        here.server->publish(store_subject::configuration, configuration_rows(version, 3000), true);
+        CHECK(read_all() < 4000); // of 600 KB: six routes of 200 bytes, and what lies between them
+    }
+}
+
+TEST_CASE("changes reach a subscriber, and a new subscription transfers only what it lacks")
+{
+    reader first;
+    reader second;
+    follower daemon;
+    adapter::stored_rows rows = daemon_rows(1, 300);
+    daemon.client.subscribe(reader_entry, first.port);
+    REQUIRE(run_until([&] {
+        return daemon.has(store_subject::daemons, rows) &&
+               daemon.has(store_subject::configuration, configuration_rows(1, 3000));
+    }));
+    daemon.client.set_urgency(proxy::listing_urgency::normal);
+    CHECK(run_until([&] { return daemon.has(store_subject::servers, daemon_rows(1, 30)); }));
+    for (std::uint64_t version = 2; version < 8; ++version) {
+        rows = with_one_change(rows, version);
+        rows.rows.erase(rows.rows.begin() + static_cast<std::ptrdiff_t>(version * 7));
+        rows.rows.push_back({"new-" + std::to_string(version), "value", version, false});
+        first.server->publish(store_subject::daemons, rows, true);
+        rows.moment.version += 100;
+        first.server->publish(store_subject::daemons, rows, false);
+        first.server->publish(store_subject::configuration, configuration_rows(version, 3000),
+                              true);
+    }
+    CHECK(run_until([&] { return daemon.has(store_subject::daemons, rows); }));
+    CHECK(run_until(
+        [&] { return daemon.has(store_subject::configuration, configuration_rows(7, 3000)); }));
+    CHECK(daemon.lost == 0);
+
+    // The second reader has the same configuration, another list of daemons, and no newer one.
+    rows = with_one_change(rows, 900);
+    second.server->publish(store_subject::daemons, rows, true);
+    second.server->publish(store_subject::configuration, configuration_rows(7, 3000), true);
+    daemon.client.subscribe(reader_entry, second.port);
+    CHECK(run_until([&] { return daemon.has(store_subject::daemons, rows); }));
+    CHECK(daemon.has(store_subject::configuration, configuration_rows(7, 3000)));
+    CHECK(daemon.lost == 0);
+}
+
+// A day's configurations differ in few routes.
+TEST_CASE("edits between two texts turn the first into the second, and are short")
+{
+    random_source random{2};
+    const auto text_of = [&](std::size_t objects, std::uint64_t kinds) {
+        std::string text = "[";
+        for (std::size_t index = 0; index < objects; ++index) {
+            text += "{" + std::to_string(random.below(kinds)) + "},";
+        }
+        return text + "]";
+    };
+    for (int round = 0; round < 200; ++round) {
+        const std::string from = text_of(random.below(20), 5);
+        const std::string to = text_of(random.below(20), 5);
+        CHECK(apply_edits(from, edits_between(from, to)) == to);
+        CHECK(apply_edits("", edits_between("", to)) == to);
+    }
+    const std::string from = text_of(3000, 1U << 30U);
+    std::string to = from;
+    const std::size_t erased = to.find('{', 1000);
+    to.erase(erased, to.find('}', erased) + 1 - erased);
+    to.insert(to.find('{', 20'000), "{added},");
+    CHECK(apply_edits(from, edits_between(from, to)) == to);
+    CHECK(size_of(edits_between(from, to)) < 200);
+    CHECK_FALSE(apply_edits("abc", {{2, 2, ""}}).has_value());
+    CHECK_FALSE(apply_edits("abc", {{4, 0, ""}}).has_value());
+}
+
+// A list that lacks a change must never be taken for the newest one.
+TEST_CASE("a subscriber that misses a change leaves its reader and gets the whole set again")
+{
+    application();
+    QTcpServer odd;
+    REQUIRE(odd.listen(QHostAddress::LocalHost));
+    follower daemon;
+    daemon.client.subscribe(reader_entry, odd.serverPort());
+    QTcpSocket* socket = nullptr;
+    REQUIRE(run_until([&] {
+        socket = socket == nullptr ? odd.nextPendingConnection() : socket;
+        return socket != nullptr;
+    }));
+    const adapter::stored_rows rows = daemon_rows(1, 10);
+    socket->write(encode_relay_message(relay_rows{store_subject::daemons, rows}));
+    REQUIRE(run_until([&] { return daemon.has(store_subject::daemons, rows); }));
+    SECTION("with another base")
+    {
+        socket->write(encode_relay_message(
+            relay_changes{store_subject::daemons, {2, {}}, {3, {}}, {{}, {}, {"front-1"}}, 1}));
+    }
+    SECTION("of a subject that was not sent")
+    {
+        socket->write(encode_relay_message(
+            relay_changes{store_subject::servers, {1, {}}, {3, {}}, {{}, {}, {"front-1"}}, 1}));
+    }
+    SECTION("with edits of other rows")
+    {
+        socket->write(
+            encode_relay_message(relay_changes{store_subject::daemons,
+                                               {1, {}},
+                                               {3, {}},
+                                               {{}, {{"front-1", 2, {{9999, 1, ""}}}}, {}},
+                                               1}));
+    }
+    SECTION("with another result")
+    {
+        socket->write(encode_relay_message(
+            relay_changes{store_subject::daemons, {1, {}}, {3, {}}, {{}, {}, {"front-1"}}, 1}));
+    }
+    SECTION("unchanged rows that it does not have")
+    {
+        socket->write(encode_relay_message(relay_unchanged{store_subject::servers, {3, {}}}));
+    }
+    CHECK(run_until([&] { return daemon.lost == 1; }));
+    CHECK(daemon.has(store_subject::daemons, rows));
+    reader here;
+    daemon.client.subscribe(reader_entry, here.port);
+    CHECK(run_until([&] { return daemon.has(store_subject::daemons, daemon_rows(1, 300)); }));
+}
+
+TEST_CASE("a reader serves a limited number of subscribers")
+{
+    reader here;
+    std::vector<std::unique_ptr<raw_subscriber>> subscribers;
+    for (std::size_t index = 0; index < 3 * relay::daemons_per_reader; ++index) {
+        subscribers.push_back(std::make_unique<raw_subscriber>(here.port));
+        subscribers.back()->send(hello("s" + std::to_string(index)));
+        run_events(1);
+    }
+    constexpr std::size_t limit = 2 * relay::daemons_per_reader;
+    CHECK(run_until([&] { return here.server->subscribers().size() == limit; }));
+    run_events(20);
+    CHECK(here.server->subscribers().size() == limit);
+    subscribers.resize(relay::daemons_per_reader);
+    CHECK(
+        run_until([&] { return here.server->subscribers().size() == relay::daemons_per_reader; }));
+}
+
+TEST_CASE("changes between two readings turn the first into the second")
+{
+    random_source random{1};
+    for (int round = 0; round < 200; ++round) {
+        std::vector<adapter::stored_row> from;
+        std::vector<adapter::stored_row> to;
+        for (int key = 0; key < 8; ++key) {
+            const std::string name(1, static_cast<char>('a' + key));
+            if (random.chance(0.7)) {
+                from.push_back({name, "value", random.below(3), false});
+            }
+            if (random.chance(0.7)) {
+                to.push_back({name, "value", random.below(3), false});
+            }
+        }
+        CHECK((digest_of(from) == digest_of(to)) == (from == to));
+        auto rows = from;
+        CHECK(apply_changes(rows, changes_between(from, to)));
+        CHECK(rows == to);
+        std::reverse(rows.begin(), rows.end());
+        CHECK(digest_of(rows) == digest_of(to));
+    }
+}
--- a/packages/edge/tests/test_store_view.cpp
+++ b/packages/edge/tests/test_store_view.cpp
@@ -237,19 +237,29 @@
 
 TEST_CASE("the same messages come out of the decoder that were encoded, in any pieces")
 {
-    const std::vector<relay_message> messages{
-        relay_hello{{"d1", "a", "10.0.0.1", 7441, 120}},
+    std::vector<relay_message> messages{
+        relay_hello{{"d1", "a", "10.0.0.1", 7441, 120}, std::nullopt},
+        relay_hello{{"d1", "a", "10.0.0.1", 7441, 120}, row_digests{0, 1, INT64_MAX}},
         relay_urgency{proxy::listing_urgency::soon},
         relay_status{1500ms, promotion::store_time{99}},
         relay_rows{
             store_subject::servers,
             {{{"i-1", std::string{"\x00\xff{", 3}, 7, false}}, {}, {9, promotion::store_time{5}}}},
         relay_unchanged{store_subject::daemons, {10, promotion::store_time{6}}},
+        relay_changes{
+            store_subject::daemons,
+            {10, promotion::store_time{6}},
+            {12, promotion::store_time{7}},
+            {{{"d2", "new", 12, false}}, {{"d3", 11, {{0, 9, ""}, {4, 0, "x"}}}}, {"d1", ""}},
+            77},
     };
     QByteArray bytes;
     for (const relay_message& message : messages) {
         bytes += encode_relay_message(message);
     }
+    messages.push_back(relay_rows{store_subject::daemons,
+                                  {{{"i-1", std::string(10'000, 'x'), 7, false}}, {}, {9, {}}}});
+    bytes += encode_compressed(messages.back());
     for (const qsizetype piece : {qsizetype{1}, qsizetype{7}, bytes.size()}) {
         relay_decoder decoder;
         std::vector<relay_message> decoded;
@@ -274,6 +284,14 @@
     CHECK(is_refused(QByteArray::fromHex("0000000101")));
     CHECK(is_refused(QByteArray::fromHex("000000028109"))); // an unknown kind
     CHECK(is_refused(QByteArray::fromHex("00000000")));
+    // A compressed message of another size than stated.
+    const QByteArray large = encode_compressed(relay_rows{
+        store_subject::daemons, {{{"key", std::string(10'000, 'x'), 1, false}}, {}, {}}});
+    REQUIRE(large.size() < 1000);
+    CHECK_FALSE(is_refused(large));
+    QByteArray other_size = large;
+    other_size[8] = static_cast<char>(other_size.at(8) + 1);
+    CHECK(is_refused(other_size));
     QByteArray nested = QByteArray::fromHex("0000c350") + QByteArray(50'000, '\x81');
     CHECK(is_refused(nested));
 
--- a/packages/relay/include/gypsumstep/relay/source_choice.h
+++ b/packages/relay/include/gypsumstep/relay/source_choice.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gypsumstep/base/time.h"
+#include "gypsumstep/relay/reader_order.h"
 
 #include <cstddef>
 #include <map>
@@ -24,7 +25,8 @@
 /// Chooses the source of the store's contents.
 ///
 /// Each failure domain has a few readers in a common order. A daemon subscribes to the first one
-/// that is healthy: one that sends something often enough, and whose own calls to the store
+/// that is healthy, of the first readers in an order of its own that spreads the daemons over them.
+/// Healthy is one that sends something often enough, and whose own calls to the store
 /// succeed. The first readers read the store all the time, the next ones only while no reader
 /// before them is healthy, all other daemons only while none is. So a daemon whose reader is
 /// frozen, cut off, slow or refused by the store goes on through the next one, or reads for itself;
@@ -54,7 +56,7 @@
 
     /// Replaces the readers of this daemon's failure domain, in their common order. Without
     /// readers the daemon reads the store itself.
-    void set_readers(std::vector<std::string> readers, time_point now);
+    void set_readers(std::vector<std::string> readers, time_point now, reader_places places = {});
 
     /// Records that the subscribed reader sent something.
     /// \param failing_for how long the reader's own calls to the store have failed; zero if they
@@ -84,6 +86,7 @@
 
     std::string m_self;
     std::vector<std::string> m_readers;
+    reader_places m_places;
     std::map<std::string, time_point> m_passed_over; ///< until when
     std::optional<std::string> m_current;            ///< the reader subscribed to
     time_point m_heard_at{};                         ///< last message, or start of the subscription
--- a/packages/relay/src/source_choice.cpp
+++ b/packages/relay/src/source_choice.cpp
@@ -7,9 +7,11 @@
 
 namespace gypsumstep::relay {
 
-void source_choice::set_readers(std::vector<std::string> readers, time_point now)
+void source_choice::set_readers(std::vector<std::string> readers, time_point now,
+                                reader_places places)
 {
     m_readers = std::move(readers);
+    m_places = places;
     const bool is_listed =
         m_current && std::find(m_readers.begin(), m_readers.end(), *m_current) != m_readers.end();
     if (m_current && !is_listed) {
@@ -58,7 +60,9 @@
 
 std::optional<std::string> source_choice::first_healthy(std::size_t places, time_point now) const
 {
-    for (std::size_t place = 0; place < places; ++place) {
+    const std::size_t first = std::min(m_places.first, places);
+    for (std::size_t turn = 0; turn < places; ++turn) {
+        const std::size_t place = turn < first ? (m_places.preferred + turn) % first : turn;
         const std::string& reader = m_readers[place];
         if (reader != m_self && !is_passed_over(reader, now)) {
             return reader;
@@ -84,7 +88,7 @@
         pass_over(*m_current, now);
     }
     const std::size_t place = place_of_self();
-    if (place < first_readers) {
+    if (place < m_places.first) {
         const bool is_refused = m_own_failure >= failure_limit;
         subscribe(is_refused ? first_healthy(m_readers.size(), now) : std::nullopt, now);
         return {m_current, true};
--- a/packages/relay/tests/test_source_choice.cpp
+++ b/packages/relay/tests/test_source_choice.cpp
@@ -218,3 +218,38 @@
         CHECK(site.is_served(name));
     }
 }
+
+// Traffic of large fleets: one reader sent everything to all daemons of its domain.
+TEST_CASE("the number of daemons that one reader serves does not grow with the domain")
+{
+    for (const std::size_t count : {20U, 32U, 50U, 64U, 100U, 300U}) {
+        INFO(count << " daemons");
+        std::vector<homes::daemon_entry> daemons;
+        for (std::size_t index = 0; index < count; ++index) {
+            daemons.push_back({"d" + std::to_string(index), "a", "h", 1, index < 2 ? 500U : 120U});
+        }
+        std::vector<std::string> readers;
+        for (const homes::daemon_entry& reader : readers_of("a", daemons)) {
+            readers.push_back(reader.name);
+        }
+        CHECK(readers.size() == first_readers_of(count) + spare_readers);
+        std::map<std::string, std::size_t> subscribers;
+        std::map<std::string, std::size_t> without_first;
+        std::size_t reading = 0;
+        for (const homes::daemon_entry& daemon : daemons) {
+            source_choice choice{daemon.name};
+            choice.set_readers(readers, time_point{1s}, places_for(daemon.name, "a", daemons));
+            const source chosen = choice.choose(time_point{1s});
+            reading += chosen.reads_store ? 1 : 0;
+            subscribers[chosen.reader.value_or("")] += 1;
+            choice.on_lost(readers[0], time_point{1s});
+            without_first[choice.choose(time_point{1s}).reader.value_or("")] += 1;
+        }
+        CHECK(reading == first_readers_of(count));
+        for (const std::string& reader : readers) {
+            CHECK(subscribers[reader] <= daemons_per_reader);
+            CHECK(without_first[reader] <= 2 * daemons_per_reader);
+        }
+        CHECK(without_first[readers[0]] == 0);
+    }
+}
