--- a/packages/edge/tests/test_store_view.cpp
+++ b/packages/edge/tests/test_store_view.cpp
@@ -266,9 +266,10 @@
         relay_hello{{"d1", "a", "10.0.0.1", 7441, 120}},
         relay_urgency{proxy::listing_urgency::soon},
         relay_status{1500ms, promotion::store_time{99}, 3},
-        relay_rows{
-            store_subject::servers,
-            {{{"i-1", std::string{"\x00\xff{", 3}, 7, false}}, {}, {9, promotion::store_time{5}, 3}}},
+        relay_rows{store_subject::servers,
+                   {{{"i-1", std::string{"\x00\xff{", 3}, 7, false}},
+                    {},
+                    {9, promotion::store_time{5}, 3}}},
         relay_unchanged{store_subject::daemons, {10, promotion::store_time{6}, 3}},
     };
     QByteArray bytes;
--- a/packages/promotion/include/gypsumstep/promotion/coordinator.h
+++ b/packages/promotion/include/gypsumstep/promotion/coordinator.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -117,7 +118,8 @@
 ///
 /// Where a commit is acknowledged only once sync_replicas replicas hold it, a server is promoted
 /// only if it is sure to hold every acknowledged commit. For that, all registered servers of the
-/// group are asked, and a draining one is promoted if no ready one qualifies.
+/// group are asked, and a draining one is promoted if no ready one qualifies. A group whose servers
+/// all drain gets one of them once its primary is lost.
 ///
 /// Where the platform does not stop the old primary, the coordinator first claims that no server
 /// may lead, has the lead handed over (see claim_exchange), and only then chooses the target and
@@ -184,6 +186,9 @@
     /// Whether a promotion is in progress, so that the group can expect a primary soon.
     [[nodiscard]] bool in_progress() const { return m_step != step::idle; }
 
+    /// Why no server was promoted so far, for logs; a fixed text.
+    [[nodiscard]] std::string_view obstacle() const;
+
     /// Why a promotion is needed, for logs; empty if none is.
     [[nodiscard]] const std::string& reason() const { return m_reason; }
 
@@ -203,6 +208,7 @@
     };
 
     [[nodiscard]] std::string reason_to_promote() const;
+    [[nodiscard]] bool may_be_unlisted() const;
     [[nodiscard]] bool needs_quorum() const;
     [[nodiscard]] bool has_quorum(const shared_state& state) const;
     [[nodiscard]] std::optional<std::string> best_replica() const;
@@ -221,7 +227,8 @@
     void send_order(time_point now);
     [[nodiscard]] static bool is_leased(const claim& value, store_time now);
     [[nodiscard]] bool holds_claim(const shared_state& state) const;
-    void retry_after(duration backoff, time_point now);
+    /// Begins a new attempt after a backoff. \p obstacle must be a string literal.
+    void retry(const char* obstacle, time_point now);
     void finish();
     void claim_if_target_found(time_point now);
     template <class T>
@@ -236,6 +243,7 @@
     group_state m_group;
     step m_step{step::idle};
     std::string m_reason;
+    const char* m_obstacle{""};   ///< why the last attempt promoted no server
     time_point m_step_deadline{}; ///< when the current step starts, times out or is repeated
     std::optional<shared_state> m_shared;
     time_point m_read_at{};                 ///< when m_shared was asked for
--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -46,6 +46,7 @@
     }
     m_reason = reason;
     if (m_step == step::idle) {
+        m_obstacle = "the promotion has begun";
         m_step = step::waiting;
         m_step_deadline = now + m_random.between(duration{0}, first_call_jitter);
     }
@@ -56,21 +57,20 @@
         begin_attempt(now);
         return;
     }
-    // The current step timed out.
-    retry_after(retry_backoff, now);
+    retry("a step of the promotion was not answered in time", now);
 }
 
 std::string coordinator::reason_to_promote() const
 {
-    if (m_group.replicas.empty()) {
+    if (m_group.replicas.empty() && m_group.other_members.empty()) {
         return {};
     }
     if (!m_group.primary) {
-        const bool may_be_unlisted =
-            !m_group.saw_primary && m_group.leaderless_for < unlisted_grace;
-        return m_group.leaderless_confirmed && !may_be_unlisted ? "no server leads the group" : "";
+        return m_group.leaderless_confirmed && !may_be_unlisted() ? "no server leads the group"
+                                                                  : "";
     }
-    if (m_group.primary_draining) {
+    if (m_group.primary_draining &&
+        (!m_group.replicas.empty() || m_group.primary_failing_for >= suspicion_delay)) {
         return "the primary is draining";
     }
     if (m_group.primary_failing_for >= suspicion_delay) {
@@ -79,6 +79,28 @@
     return {};
 }
 
+bool coordinator::may_be_unlisted() const
+{
+    return !m_group.saw_primary && m_group.leaderless_for < unlisted_grace;
+}
+
+std::string_view coordinator::obstacle() const
+{
+    if (m_step != step::idle) {
+        return m_obstacle;
+    }
+    if (m_group.replicas.empty() && m_group.other_members.empty()) {
+        return "no server of the group is registered";
+    }
+    if (!m_group.primary && !m_group.leaderless_confirmed) {
+        return "no list of the servers was read since the group is without a leader";
+    }
+    if (!m_group.primary && may_be_unlisted()) {
+        return "a leader may only be missing from the list of the servers";
+    }
+    return "the primary has not failed for long enough";
+}
+
 bool coordinator::needs_quorum() const
 {
     if (m_group.primary) {
@@ -120,7 +142,7 @@
 void coordinator::on_suspicion_written(call_outcome outcome, time_point now)
 {
     if (outcome == call_outcome::failed && m_step == step::reading) {
-        retry_after(retry_backoff, now);
+        retry("the store did not take this daemon's suspicion", now);
     }
 }
 
@@ -130,7 +152,7 @@
         return;
     }
     if (!state) {
-        retry_after(retry_backoff, now);
+        retry("the store does not answer", now);
         return;
     }
     m_shared = state;
@@ -139,17 +161,17 @@
             survey(now);
         }
         else {
-            retry_after(retry_backoff, now);
+            retry("another daemon took the claim over", now);
         }
         return;
     }
     if (state->current_claim && state->current_claim->holder != m_daemon &&
         is_leased(*state->current_claim, state->now)) {
-        retry_after(retry_backoff, now);
+        retry("another daemon holds the claim", now);
         return;
     }
     if (needs_quorum() && !has_quorum(*state)) {
-        retry_after(retry_backoff, now);
+        retry("too few daemons report that the group has no leader", now);
         return;
     }
     if (m_group.old_primary_stops) {
@@ -174,6 +196,7 @@
         return false;
     }
     const bool had_begun = m_step != step::waiting;
+    m_obstacle = "the store went back, and lost claims may be written again";
     m_step = step::waiting;
     m_step_deadline = now + m_random.between(claims_restored_after,
                                              claims_restored_after + first_call_jitter * 2);
@@ -251,8 +274,11 @@
     next.pause = m_replicas_paused;
     next.servers = candidates();
     if (next.pause) {
-        next.servers.insert(next.servers.end(), m_group.other_members.begin(),
-                            m_group.other_members.end());
+        for (const std::string& server : m_group.other_members) {
+            if (std::find(next.servers.begin(), next.servers.end(), server) == next.servers.end()) {
+                next.servers.push_back(server);
+            }
+        }
     }
     add_action(std::move(next));
 }
@@ -285,16 +311,19 @@
         return;
     }
     // No ready replica could lead without a loss, so the primary is not stopped yet.
-    retry_after(retry_backoff, now);
+    retry("no ready replica keeps up with the draining primary", now);
 }
 
 std::vector<std::string> coordinator::candidates() const
 {
-    std::vector<std::string> servers = m_group.replicas;
+    // A draining server leads better than none.
+    const std::vector<std::string>& members =
+        m_group.replicas.empty() ? m_group.other_members : m_group.replicas;
+    std::vector<std::string> servers = members;
     if (!m_no_target_found) {
         std::erase(servers, m_excluded);
     }
-    return servers.empty() ? m_group.replicas : servers;
+    return servers.empty() ? members : servers;
 }
 
 bool coordinator::is_ready(const std::string& server) const
@@ -326,14 +355,14 @@
         m_thin_surveys < max_thin_surveys) {
         // A server that did not answer may have received more.
         ++m_thin_surveys;
-        retry_after(retry_backoff, now);
+        retry("most servers did not answer the survey", now);
         return;
     }
     const auto target = best_replica();
     m_no_target_found = !target;
     if (!target) {
         m_rejected_target.reset();
-        retry_after(retry_backoff, now);
+        retry("no server that answered is sure to hold every acknowledged commit", now);
         return;
     }
     claim next;
@@ -390,7 +419,7 @@
         return;
     }
     if (outcome != call_outcome::done) {
-        retry_after(retry_backoff, now);
+        retry("the claim was not written", now);
         return;
     }
     if (m_step == step::claiming_lead) {
@@ -408,7 +437,7 @@
     // This process may have been suspended since it claimed, and another daemon may hold the claim.
     // A platform that stops the old primary also refuses the old claim's token.
     if (!m_group.old_primary_stops && now - m_read_at >= claim_lease - order_margin) {
-        retry_after(retry_backoff, now);
+        retry("the claim is too old for an order", now);
         return;
     }
     ++m_orders_sent;
@@ -429,11 +458,11 @@
         break;
     case call_outcome::conflict:
         m_rejected_target = m_claim.target;
-        retry_after(retry_backoff, now);
+        retry("the platform refused the target", now);
         break;
     case call_outcome::failed:
         if (m_orders_sent >= max_orders_per_claim) {
-            retry_after(retry_backoff, now);
+            retry("the platform did not answer the order", now);
             break;
         }
         // Repeating the order is safe: with the same token it takes effect only once.
@@ -447,10 +476,11 @@
     return std::exchange(m_actions, {});
 }
 
-void coordinator::retry_after(duration backoff, time_point now)
+void coordinator::retry(const char* obstacle, time_point now)
 {
+    m_obstacle = obstacle;
     m_step = step::waiting;
-    m_step_deadline = now + m_random.between(backoff, backoff * 2);
+    m_step_deadline = now + m_random.between(retry_backoff, retry_backoff * 2);
 }
 
 void coordinator::finish()
--- a/packages/promotion/tests/test_coordinator.cpp
+++ b/packages/promotion/tests/test_coordinator.cpp
@@ -609,3 +609,82 @@
     daemon.collect();
     CHECK(find_action<survey_replicas>(daemon.actions));
 }
+
+namespace {
+
+/// Surveys with the given answers and returns the claimed target; empty if there is none.
+std::string claimed_target(coordinator_driver& daemon, const group_state& group,
+                           const std::vector<survey_answer>& answers)
+{
+    daemon.run(group);
+    daemon.subject.on_shared_state(empty_store(), daemon.now);
+    daemon.collect();
+    const auto survey = find_action<survey_replicas>(daemon.actions);
+    if (!survey) {
+        return {};
+    }
+    CHECK(survey->servers.size() == answers.size());
+    daemon.subject.on_survey({answers, {}}, daemon.now);
+    daemon.collect();
+    const auto claim = find_action<write_claim>(daemon.actions);
+    return claim ? claim->next.target : std::string{};
+}
+
+} // namespace
+
+// A group without a ready replica stayed without a leader for as long as its replicas drained.
+TEST_CASE("a group whose servers all drain gets a leader once its primary is lost")
+{
+    group_state group = healthy_group();
+    group.primary.reset();
+    group.other_members = std::exchange(group.replicas, {});
+    for (const std::uint32_t sync_replicas : {0U, 1U}) {
+        group.sync_replicas = sync_replicas;
+        coordinator_driver daemon;
+        CHECK(claimed_target(daemon, group, both_answers.answers) == "r2");
+    }
+    // With synchronous replicas, a server that may hold more is waited for.
+    coordinator_driver daemon;
+    const std::vector<survey_answer> one{{"r1", status_at(10)}, {"r2", {}}};
+    CHECK(claimed_target(daemon, group, one).empty());
+    CHECK(daemon.subject.obstacle() ==
+          "no server that answered is sure to hold every acknowledged commit");
+}
+
+TEST_CASE("a registered primary that fails is replaced by a draining replica, one that drains not")
+{
+    group_state group = healthy_group();
+    group.other_members = std::exchange(group.replicas, {});
+    group.primary_draining = true;
+    coordinator_driver daemon;
+    daemon.run(group);
+    CHECK(daemon.actions.empty());
+    group.primary_draining = false;
+    group.primary_failing_for = 2s;
+    daemon.run(group);
+    daemon.subject.on_shared_state(store_with_suspicions(2), daemon.now);
+    daemon.collect();
+    REQUIRE(find_action<survey_replicas>(daemon.actions));
+    CHECK(find_action<survey_replicas>(daemon.actions)->servers ==
+          std::vector<std::string>{"r1", "r2"});
+}
+
+TEST_CASE("a daemon that promotes nobody tells why")
+{
+    coordinator_driver daemon;
+    group_state group = healthy_group();
+    group.primary.reset();
+    group.leaderless_confirmed = false;
+    daemon.run(group);
+    CHECK(daemon.subject.obstacle() ==
+          "no list of the servers was read since the group is without a leader");
+    group.leaderless_confirmed = true;
+    daemon.run(group);
+    daemon.subject.on_shared_state(std::nullopt, daemon.now);
+    CHECK(daemon.subject.obstacle() == "the store does not answer");
+    daemon.run(group);
+    shared_state state = empty_store();
+    state.current_claim = claim{"d2", 4, "r1", state.now, {}};
+    daemon.subject.on_shared_state(state, daemon.now);
+    CHECK(daemon.subject.obstacle() == "another daemon holds the claim");
+}
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -181,6 +181,7 @@
     bool saw_primary{false};
     std::optional<server_id> last_primary; ///< the newest primary, even after it was lost
     std::optional<time_point> leaderless_since;
+    time_point next_leaderless_report{}; ///< when the log tells again why nobody leads
     std::uint64_t leaderless_listing{0}; ///< newest listing when the group became leaderless
     std::optional<lead_release> release;
     std::optional<std::pair<server_id, log_position>> demoted; ///< former primary and its log's end
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -267,6 +267,8 @@
 
     // Promotions: promotions.cpp.
     void update_promotion(database_group& group, time_point now);
+    void report_leaderless(database_group& group, const promotion::group_state& state,
+                           time_point now);
     void run_promotion_actions(database_group& group, time_point now);
     void start_survey(database_group& group, const promotion::survey_replicas& request,
                       time_point now);
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -20,6 +20,11 @@
 /// one of them was promoted. Covers the claim, the order and the promotion.
 constexpr duration max_replica_pause = 4s;
 
+/// A group counts as without a leader for the logs after this time, longer than most promotions;
+/// the log then tells at this interval why nobody was promoted.
+constexpr duration leaderless_report_delay = 2s;
+constexpr duration leaderless_report_interval = 5s;
+
 /// The command that asks a server for its position in \p survey.
 command_kind survey_command(const detail::replica_survey& survey, server_id server)
 {
@@ -70,6 +75,7 @@
                       {"primary", state.primary.value_or("")},
                       {"failing_us", std::to_string(state.primary_failing_for.count())}});
     }
+    report_leaderless(group, state, now);
     run_promotion_actions(group, now);
     if (group.survey) {
         continue_survey(group, now);
@@ -77,6 +83,23 @@
     resume_replicas(group, now);
 }
 
+void proxy::report_leaderless(database_group& group, const promotion::group_state& state,
+                              time_point now)
+{
+    const duration lasting = state.primary ? state.primary_failing_for : state.leaderless_for;
+    if (lasting < leaderless_report_delay || now < group.next_leaderless_report) {
+        return;
+    }
+    group.next_leaderless_report = now + leaderless_report_interval;
+    log_decision(importance::failure, "a group has no leader", "",
+                 {{"service", group.service},
+                  {"obstacle", std::string{group.promotion.obstacle()}},
+                  {"leaderless_us", std::to_string(lasting.count())},
+                  {"primary", state.primary.value_or("")},
+                  {"ready_replicas", std::to_string(state.replicas.size())},
+                  {"other_servers", std::to_string(state.other_members.size())}});
+}
+
 void proxy::run_promotion_actions(database_group& group, time_point now)
 {
     if (group.promotion.in_progress()) {
--- a/packages/proxy/tests/test_promotion.cpp
+++ b/packages/proxy/tests/test_promotion.cpp
@@ -239,3 +239,37 @@
     world.advance_time(5s);
     CHECK(world.commands(command_kind::resume, "r").size() == 1);
 }
+
+// A group whose replicas all drained when its primary crashed stayed without a leader, and no log
+// line told why.
+TEST_CASE("a lost primary is replaced while all replicas drain, with and without synchronous ones")
+{
+    for (const std::uint32_t sync_replicas : {0U, 1U}) {
+        harness world;
+        world.servers["r2"];
+        world.configure(1, sync_replicas);
+        world.list_servers();
+        world.draining = {"r", "r2"};
+        world.list_servers();
+        world.servers["p"].reachable = false;
+        world.reset("p");
+        world.list_servers("p");
+        world.advance_time(directory::server_directory::absence_grace);
+        world.list_servers("p");
+        world.advance_time(800ms);
+        REQUIRE(last_step<promotion::read_shared_state>(world));
+        answer_store(world);
+        world.advance_time(100ms);
+        REQUIRE(last_step<promotion::write_claim>(world));
+        CHECK(last_step<promotion::write_claim>(world)->next.target != "p");
+        // The claim is not written, so the group goes on without a leader.
+        world.proxy_under_test().on_claim_written("ledger", promotion::call_outcome::failed,
+                                                  world.now);
+        world.advance_time(3s);
+        const auto told = std::find_if(
+            world.decisions.begin(), world.decisions.end(), [](const proxy::decision& next) {
+                return std::string_view{next.message} == "a group has no leader";
+            });
+        CHECK(told != world.decisions.end());
+    }
+}
