--- a/packages/promotion/include/gypsumstep/promotion/coordinator.h
+++ b/packages/promotion/include/gypsumstep/promotion/coordinator.h
@@ -51,6 +51,9 @@
 struct survey_replicas {
     std::vector<std::string> servers;
     bool pause{false}; ///< also stops the servers from receiving log entries
+    /// Until then no other daemon pauses servers of the group, so only until then this one may have
+    /// them receive log entries again; set if they are paused.
+    time_point exclusive_until{};
     /// Primary that is asked first; a replica should have received the position that it reports.
     std::optional<std::string> reference;
     bool demote{false};                   ///< the reference must also stop taking writes
@@ -121,6 +124,10 @@
 /// group are asked, and a draining one is promoted if no ready one qualifies. A group whose servers
 /// all drain gets one of them once its primary is lost.
 ///
+/// Servers are paused only under this daemon's claim, and receive the log again only within its
+/// lease. Otherwise a daemon that gave up would have the servers receive entries that another one's
+/// survey does not know, and the promoted server could lack acknowledged commits.
+///
 /// Where the platform does not stop the old primary, the coordinator first claims that no server
 /// may lead, has the lead handed over (see claim_exchange), and only then chooses the target and
 /// claims it.
@@ -184,6 +191,9 @@
     [[nodiscard]] std::vector<action> take_actions();
 
     /// Whether a promotion is in progress, so that the group can expect a primary soon.
+    /// Whether other daemons respect the claim at \p now, by the store's clock.
+    [[nodiscard]] static bool is_leased(const claim& value, store_time now);
+
     [[nodiscard]] bool in_progress() const { return m_step != step::idle; }
 
     /// Why no server was promoted so far, for logs; a fixed text.
@@ -196,13 +206,14 @@
     enum class step : std::uint8_t {
         idle,
         waiting,
-        reading,       ///< reads the shared state
-        claiming_lead, ///< writes the claim that no server may lead
-        handing_over,  ///< waits until no daemon uses the former primary
-        reading_claim, ///< reads the version of the claim that it wrote
-        checking,      ///< asks whether a replica keeps up with the draining primary
-        surveying,     ///< asks the replicas for their positions
-        claiming,      ///< writes the claim on the target
+        reading,         ///< reads the shared state
+        claiming_survey, ///< writes or renews the claim under which servers are paused
+        claiming_lead,   ///< writes the claim that no server may lead
+        handing_over,    ///< waits until no daemon uses the former primary
+        reading_claim,   ///< reads the version of the claim that it wrote
+        checking,        ///< asks whether a replica keeps up with the draining primary
+        surveying,       ///< asks the replicas for their positions
+        claiming,        ///< writes the claim on the target
         ordering,
         ordered
     };
@@ -220,12 +231,13 @@
     void begin_attempt(time_point now);
     void read_state(step next, time_point now);
     void survey(time_point now);
+    void claim_survey(time_point now);
+    [[nodiscard]] bool may_order(time_point now) const;
     void check_replicas(time_point now);
     void on_replicas_checked(const survey_result& result, time_point now);
     void claim_lead(time_point now);
     void write(claim next, step following, time_point now);
     void send_order(time_point now);
-    [[nodiscard]] static bool is_leased(const claim& value, store_time now);
     [[nodiscard]] bool holds_claim(const shared_state& state) const;
     /// Begins a new attempt after a backoff. \p obstacle must be a string literal.
     void retry(const char* obstacle, time_point now);
@@ -249,6 +261,9 @@
     time_point m_read_at{};                 ///< when m_shared was asked for
     std::optional<log_position> m_required; ///< where the former primary's log ends
     std::vector<survey_answer> m_answers;
+    time_point m_paused_until{};    ///< paused servers receive log entries again before
+    bool m_survey_claimed{false};   ///< servers may be paused under m_claim
+    time_point m_claimed_at{};      ///< when the lease of m_claim began, or earlier
     bool m_replicas_paused{false};  ///< during the last survey
     bool m_replica_keeps_up{false}; ///< as checked in this attempt
     bool m_no_target_found{false};  ///< in the last survey
--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -21,6 +21,10 @@
 /// Number of surveys that are repeated because most servers did not answer.
 constexpr std::uint32_t max_thin_surveys = 2;
 
+/// A claim under which a survey found no target is used for the next one while this much of its
+/// lease is left; then other daemons get their turn. Covers a survey, the claim and the order.
+constexpr store_time min_remaining_lease{1700};
+
 /// Maximum number of orders under one claim; after that, a new target is chosen.
 constexpr std::uint32_t max_orders_per_claim = 3;
 
@@ -125,6 +129,7 @@
     m_shared.reset();
     m_required.reset();
     m_replica_keeps_up = false;
+    m_survey_claimed = false;
     if (needs_quorum()) {
         add_action(report_suspicion{m_group.primary.value_or("")});
     }
@@ -174,12 +179,22 @@
         retry("too few daemons report that the group has no leader", now);
         return;
     }
-    if (m_group.old_primary_stops) {
-        survey(now);
-    }
-    else {
+    if (!m_group.old_primary_stops) {
         claim_lead(now);
+        return;
     }
+    if (state->current_claim && state->current_claim->holder == m_daemon &&
+        state->current_claim->target.empty() && is_leased(*state->current_claim, state->now)) {
+        const store_time age = state->now - state->current_claim->claimed_at;
+        if (claim_lease - age < min_remaining_lease) {
+            retry("the last survey found no target, and other daemons may try now", now);
+            return;
+        }
+        m_claim = *state->current_claim;
+        m_claimed_at = m_read_at - age;
+        m_survey_claimed = true;
+    }
+    survey(now);
 }
 
 bool coordinator::is_leased(const claim& value, store_time now)
@@ -236,6 +251,7 @@
     next.token = std::max(newest_token, m_shared->min_token) + 1;
     next.claimed_at = m_shared->now;
     m_claim = std::move(next);
+    m_claimed_at = m_read_at;
     m_step = following;
     m_step_deadline = now + step_timeout;
     add_action(write_claim{m_claim, m_shared->claim_version});
@@ -259,6 +275,14 @@
         check_replicas(now);
         return;
     }
+    // Replicas that wait for the end of a stopped primary's log must go on receiving it. If none
+    // reaches it, the next survey compares the logs as they are.
+    const bool primary_stops = m_required || (is_planned() && primary_answers);
+    m_replicas_paused = is_synchronous && (!primary_stops || m_no_target_found);
+    if (m_replicas_paused && !m_survey_claimed) {
+        claim_survey(now);
+        return;
+    }
     m_step = step::surveying;
     m_step_deadline = now + step_timeout;
     survey_replicas next;
@@ -267,13 +291,11 @@
         next.reference = m_group.primary;
         next.demote = true;
     }
-    // Replicas that wait for the end of a stopped primary's log must go on receiving it. If none
-    // reaches it, the next survey compares the logs as they are.
-    const bool primary_stops = m_required || (is_planned() && primary_answers);
-    m_replicas_paused = is_synchronous && (!primary_stops || m_no_target_found);
     next.pause = m_replicas_paused;
     next.servers = candidates();
     if (next.pause) {
+        m_paused_until = m_claimed_at + claim_lease;
+        next.exclusive_until = m_paused_until;
         for (const std::string& server : m_group.other_members) {
             if (std::find(next.servers.begin(), next.servers.end(), server) == next.servers.end()) {
                 next.servers.push_back(server);
@@ -283,6 +305,21 @@
     add_action(std::move(next));
 }
 
+void coordinator::claim_survey(time_point now)
+{
+    if (m_group.old_primary_stops) {
+        write(claim{}, step::claiming_survey, now);
+        return;
+    }
+    // The hand-over may have taken most of the lease. The token stays, as the lead was handed over
+    // under it.
+    m_claim.claimed_at = m_shared->now;
+    m_claimed_at = m_read_at;
+    m_step = step::claiming_survey;
+    m_step_deadline = now + step_timeout;
+    add_action(write_claim{m_claim, m_shared->claim_version});
+}
+
 bool coordinator::is_planned() const
 {
     return m_group.old_primary_stops && m_group.primary && m_group.primary_draining;
@@ -415,13 +452,19 @@
 
 void coordinator::on_claim_written(call_outcome outcome, time_point now)
 {
-    if (m_step != step::claiming && m_step != step::claiming_lead) {
+    if (m_step != step::claiming && m_step != step::claiming_lead &&
+        m_step != step::claiming_survey) {
         return;
     }
     if (outcome != call_outcome::done) {
         retry("the claim was not written", now);
         return;
     }
+    if (m_step == step::claiming_survey) {
+        m_survey_claimed = true;
+        read_state(step::reading_claim, now);
+        return;
+    }
     if (m_step == step::claiming_lead) {
         m_step = step::handing_over;
         m_step_deadline = now + claim_exchange::release_timeout + step_timeout;
@@ -434,9 +477,7 @@
 
 void coordinator::send_order(time_point now)
 {
-    // This process may have been suspended since it claimed, and another daemon may hold the claim.
-    // A platform that stops the old primary also refuses the old claim's token.
-    if (!m_group.old_primary_stops && now - m_read_at >= claim_lease - order_margin) {
+    if (!may_order(now)) {
         retry("the claim is too old for an order", now);
         return;
     }
@@ -446,6 +487,17 @@
     add_action(order_promotion{m_claim.target, m_claim.token});
 }
 
+bool coordinator::may_order(time_point now) const
+{
+    // This process may have been suspended since it claimed, and another daemon may hold the claim.
+    // A platform that stops the old primary also refuses the old claim's token, but servers that
+    // were paused for the survey may receive the log again.
+    const bool is_respected =
+        m_group.old_primary_stops || now - m_read_at < claim_lease - order_margin;
+    const bool is_paused = !m_replicas_paused || now < m_paused_until - order_margin;
+    return is_respected && is_paused;
+}
+
 void coordinator::on_order(call_outcome outcome, time_point now)
 {
     if (m_step != step::ordering) {
--- a/packages/promotion/tests/test_coordinator.cpp
+++ b/packages/promotion/tests/test_coordinator.cpp
@@ -61,6 +61,24 @@
     }
 
     void collect() { actions = subject.take_actions(); }
+
+    /// Provides the store's state and, if the daemon claims the survey, what follows.
+    void answer_state(shared_state state)
+    {
+        subject.on_shared_state(state, now);
+        collect();
+        const auto claimed = find_action<write_claim>(actions);
+        if (!claimed || !claimed->next.target.empty()) {
+            return;
+        }
+        state.current_claim = claimed->next;
+        state.claim_version = claimed->expected_version + 1;
+        subject.on_claim_written(call_outcome::done, now);
+        collect();
+        CHECK(find_action<read_shared_state>(actions));
+        subject.on_shared_state(state, now);
+        collect();
+    }
 };
 
 shared_state empty_store()
@@ -242,8 +260,7 @@
     group.primary.reset();
     group.sync_replicas = 1;
     daemon.run(group);
-    daemon.subject.on_shared_state(empty_store(), daemon.now);
-    daemon.collect();
+    daemon.answer_state(empty_store());
     CHECK(find_action<survey_replicas>(daemon.actions)->pause);
     daemon.subject.on_survey({{{"r1", status_at(10)}, {"r2", std::nullopt}}, {}}, daemon.now);
     daemon.collect();
@@ -259,8 +276,7 @@
     const auto target = [&group](const std::optional<statement::server_status>& draining) {
         coordinator_driver daemon;
         daemon.run(group);
-        daemon.subject.on_shared_state(empty_store(), daemon.now);
-        daemon.collect();
+        daemon.answer_state(empty_store());
         const auto survey = find_action<survey_replicas>(daemon.actions);
         CHECK(survey->pause);
         CHECK(survey->servers == std::vector<std::string>{"r1", "r2", "d"});
@@ -283,14 +299,14 @@
     group.primary.reset();
     group.sync_replicas = 1;
     daemon.run(group);
-    daemon.subject.on_shared_state(empty_store(), daemon.now);
+    daemon.answer_state(empty_store());
     daemon.subject.on_survey(both_answers, daemon.now);
     daemon.subject.on_claim_written(call_outcome::done, daemon.now);
     daemon.collect();
     CHECK(find_action<order_promotion>(daemon.actions)->target == "r2");
     daemon.subject.on_order(call_outcome::conflict, daemon.now);
     daemon.run(group);
-    daemon.subject.on_shared_state(empty_store(), daemon.now);
+    daemon.answer_state(empty_store());
     daemon.subject.on_survey(both_answers, daemon.now);
     daemon.collect();
     CHECK_FALSE(find_action<write_claim>(daemon.actions));
@@ -305,8 +321,7 @@
     group.other_members = {"d"};
     const auto next_survey = [&] {
         daemon.run(group);
-        daemon.subject.on_shared_state(empty_store(), daemon.now);
-        daemon.collect();
+        daemon.answer_state(empty_store());
         return find_action<survey_replicas>(daemon.actions);
     };
     const auto check = next_survey();
@@ -617,8 +632,7 @@
                            const std::vector<survey_answer>& answers)
 {
     daemon.run(group);
-    daemon.subject.on_shared_state(empty_store(), daemon.now);
-    daemon.collect();
+    daemon.answer_state(empty_store());
     const auto survey = find_action<survey_replicas>(daemon.actions);
     if (!survey) {
         return {};
@@ -688,3 +702,67 @@
     daemon.subject.on_shared_state(state, daemon.now);
     CHECK(daemon.subject.obstacle() == "another daemon holds the claim");
 }
+
+// LOST: of two daemons that survey at the same time, the one that gives up has the paused replicas
+// receive the log again, while the other one orders by the positions that it was told.
+TEST_CASE("servers are paused only under a claim, and an order does not outlive the pause")
+{
+    coordinator_driver daemon;
+    group_state group = healthy_group();
+    group.primary.reset();
+    group.sync_replicas = 1;
+    daemon.run(group);
+    const time_point asked_at = daemon.now;
+    daemon.subject.on_shared_state(empty_store(), daemon.now);
+    daemon.collect();
+    CHECK_FALSE(find_action<survey_replicas>(daemon.actions));
+    const auto claimed = find_action<write_claim>(daemon.actions);
+    REQUIRE(claimed);
+    CHECK(claimed->next.target.empty());
+    daemon.subject.on_claim_written(call_outcome::conflict, daemon.now);
+    daemon.collect();
+    CHECK(daemon.actions.empty());
+
+    daemon.run(group);
+    daemon.answer_state(empty_store());
+    const auto survey = find_action<survey_replicas>(daemon.actions);
+    REQUIRE(survey);
+    CHECK(survey->exclusive_until > asked_at);
+    CHECK(survey->exclusive_until <= daemon.now + coordinator::claim_lease);
+    daemon.subject.on_survey(both_answers, daemon.now);
+    daemon.collect();
+    REQUIRE(find_action<write_claim>(daemon.actions));
+    daemon.now = survey->exclusive_until - coordinator::order_margin;
+    daemon.subject.on_claim_written(call_outcome::done, daemon.now);
+    daemon.collect();
+    CHECK_FALSE(find_action<order_promotion>(daemon.actions));
+}
+
+TEST_CASE("a daemon whose surveys find no target leaves the claim to others after its lease")
+{
+    coordinator_driver daemon;
+    group_state group = healthy_group();
+    group.primary.reset();
+    group.sync_replicas = 1;
+    const survey_result silence{{{"r1", {}}, {"r2", {}}}, {}};
+    daemon.run(group);
+    shared_state state = empty_store();
+    daemon.answer_state(state);
+    REQUIRE(find_action<survey_replicas>(daemon.actions));
+    state.current_claim = claim{"d1", 1, "", state.now, {}};
+    state.claim_version = 1;
+    daemon.subject.on_survey(silence, daemon.now);
+    // The claim's lease is not renewed for the next survey.
+    daemon.run(group);
+    state.now += store_time{600};
+    daemon.subject.on_shared_state(state, daemon.now);
+    daemon.collect();
+    CHECK_FALSE(find_action<write_claim>(daemon.actions));
+    REQUIRE(find_action<survey_replicas>(daemon.actions));
+    daemon.subject.on_survey(silence, daemon.now);
+    daemon.run(group);
+    state.now += store_time{1500};
+    daemon.subject.on_shared_state(state, daemon.now);
+    daemon.collect();
+    CHECK(daemon.actions.empty());
+}
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -153,6 +153,7 @@
     std::set<server_id> pending;
     std::set<server_id> repeated; ///< asked again, since the first command's term was too low
     bool pause_replicas{false};
+    time_point exclusive_until{};       ///< no other daemon pauses replicas before
     std::optional<server_id> reference; ///< asked first, and demoted if \ref demotes_reference
     bool demotes_reference{false};
     std::optional<log_position> required_position; ///< newest log position of the reference
@@ -190,7 +191,9 @@
     promotion::coordinator promotion;
     std::optional<replica_survey> survey;
     std::set<server_id> paused_replicas; ///< replicas that a survey stopped from receiving the log
-    time_point resume_at{};
+    time_point resume_at{};              ///< when the paused replicas are to receive the log again
+    time_point resume_until{};           ///< another daemon may have paused them after this time
+    std::optional<time_point> resume_check_at; ///< when the claim was asked for, to resume them
     time_point refreshed{};
 
     database_group(std::string name, const std::string& daemon, std::uint64_t seed)
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -277,6 +277,9 @@
     [[nodiscard]] bool awaits_reference(const database_group& group, time_point now) const;
     void finish_survey(database_group& group, time_point now);
     void resume_replicas(database_group& group, time_point now);
+    /// Resumes replicas after their time if the store tells of no other daemon's claim.
+    void allow_resuming(database_group& group, const promotion::shared_state& state,
+                        time_point now);
 
     // Change of the primary where the platform does not stop the old one: lead.cpp.
     [[nodiscard]] bool may_lead(const backend_server& server) const;
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -3,6 +3,7 @@
 #include "gypsumstep/proxy/proxy.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gypsumstep::proxy {
 namespace {
@@ -16,9 +17,21 @@
 /// Time before a replica is asked again whether it has received all that the old primary had.
 constexpr duration survey_retry_interval = 20ms;
 
-/// Replicas that were paused for a survey receive the log again after this time, whether or not
-/// one of them was promoted. Covers the claim, the order and the promotion.
-constexpr duration max_replica_pause = 4s;
+/// Replicas that were paused for a survey receive the log again this long before another daemon may
+/// pause them, whether or not one of them was promoted: time to open a connection and to send the
+/// command.
+constexpr duration resume_margin = 400ms;
+
+/// A command to receive the log again is not sent later than this before another daemon may pause
+/// the replica; covers its way to the server.
+constexpr duration resume_transit = 100ms;
+
+/// Replicas whose time to be resumed has passed are resumed within this time after the store was
+/// asked and told of no other daemon's claim. Shorter than another daemon needs to claim and pause.
+constexpr duration resume_check_lifetime = 200ms;
+
+/// Interval between these questions.
+constexpr duration resume_check_interval = 1s;
 
 /// A group counts as without a leader for the logs after this time, longer than most promotions;
 /// the log then tells at this interval why nobody was promoted.
@@ -136,6 +149,7 @@
 {
     detail::replica_survey survey;
     survey.pause_replicas = request.pause;
+    survey.exclusive_until = request.exclusive_until;
     survey.required_position = request.required;
     survey.deadline = now + survey_timeout;
     survey.next_request_at = now;
@@ -168,7 +182,9 @@
     command.kind = survey_command(survey, server.id);
     if (command.kind == command_kind::pause) {
         group.paused_replicas.insert(server.id);
-        group.resume_at = now + max_replica_pause;
+        group.resume_at = survey.exclusive_until - resume_margin;
+        group.resume_until = survey.exclusive_until - resume_transit;
+        group.resume_check_at.reset();
     }
     if (command.kind != command_kind::status) {
         command.at_term = group.primary_term.next();
@@ -302,6 +318,14 @@
     if (group.paused_replicas.empty() || now < group.resume_at) {
         return;
     }
+    if (now >= group.resume_until) {
+        // Another daemon may hold the claim and rely on the pause.
+        if (!group.resume_check_at || now - *group.resume_check_at >= resume_check_interval) {
+            group.resume_check_at = now;
+            emit(promotion_step{group.service, promotion::read_shared_state{}});
+        }
+        return;
+    }
     const std::set<server_id> paused = group.paused_replicas;
     for (const server_id id : paused) {
         backend_server* const server = find_server(id);
@@ -321,12 +345,31 @@
     }
 }
 
+void proxy::allow_resuming(database_group& group, const promotion::shared_state& state,
+                           time_point now)
+{
+    const time_point asked_at = *std::exchange(group.resume_check_at, std::nullopt);
+    const auto& claim = state.current_claim;
+    const bool is_free = !claim || claim->holder == m_options.daemon ||
+                         !promotion::coordinator::is_leased(*claim, state.now);
+    if (is_free && now - asked_at < resume_check_lifetime) {
+        group.resume_until = asked_at + resume_check_lifetime;
+        resume_replicas(group, now);
+    }
+    else {
+        group.resume_check_at = asked_at;
+    }
+}
+
 void proxy::on_shared_state(const std::string& service,
                             const std::optional<promotion::shared_state>& state, time_point now)
 {
     if (database_group* const group = find_group(service)) {
         group->promotion.on_shared_state(state, now);
         run_promotion_actions(*group, now);
+        if (state && group->resume_check_at) {
+            allow_resuming(*group, *state, now);
+        }
     }
 }
 
