Soak: check that each daemon uses a new configuration after the faults (CONFIG)

Cause: the soak wrote configurations and never looked at which one is in force, so a drill that leaves a daemon with an old one went unseen.

Change: after recovery a route is added, and each daemon has 6 s (the platform's limit) to start sessions on it.

--- a/testing/soak/soak_run.cpp
+++ b/testing/soak/soak_run.cpp
@@ -5,6 +5,8 @@
 #include <QCoreApplication>
 #include <QDir>
 #include <QEventLoop>
+#include <QHostAddress>
+#include <QTcpSocket>
 
 #include <algorithm>
 #include <utility>
@@ -65,6 +67,13 @@
 /// Time for the effects of earlier faults to pass, and for clients to end their last operation.
 constexpr std::chrono::milliseconds settle_time{2500};
 
+/// Route that is added at the end, and the platform's limit for putting a configuration in force.
+constexpr const char* added_route = "added";
+constexpr std::chrono::milliseconds configuration_limit{6000};
+
+/// Time for the answer to the start of a session, before it is tried again.
+constexpr std::chrono::milliseconds start_limit{500};
+
 std::uint64_t derive_seed(std::uint64_t seed, std::uint64_t stream)
 {
     return hash_combine(seed, stream);
@@ -118,8 +127,11 @@
 void soak_run::write_configuration()
 {
     using namespace adapter::standins;
-    const std::vector<route_text> routes{
+    std::vector<route_text> routes{
         {"orders", primary_route}, {"lookups", bounded_route}, {"schedules", own_commits_route}};
+    if (m_has_added_route) {
+        routes.push_back({added_route, primary_route});
+    }
     m_configuration_version += 1 + m_random.below(3);
     m_configuration =
         configuration_text(m_configuration_version, service, routes,
@@ -367,6 +379,62 @@
            total_writes() >= writes + required_operations;
 }
 
+bool soak_run::starts_sessions(std::size_t daemon, const std::string& database)
+{
+    QEventLoop loop;
+    QTcpSocket socket;
+    adapter::server_decoder decoder;
+    bool started = false;
+    connect(&socket, &QTcpSocket::connected, &loop,
+            [&] { socket.write(("START " + database + "\r\n").c_str()); });
+    connect(&socket, &QTcpSocket::readyRead, &loop, [&] {
+        const QByteArray bytes = socket.readAll();
+        decoder.feed({bytes.data(), static_cast<std::size_t>(bytes.size())});
+        const auto content = decoder.next();
+        if (content.has_error() || content.value()) {
+            started = content.has_value() && content.value()->ok();
+            loop.quit();
+        }
+    });
+    connect(&socket, &QTcpSocket::errorOccurred, &loop, &QEventLoop::quit);
+    QTimer::singleShot(start_limit, &loop, &QEventLoop::quit);
+    socket.connectToHost(QHostAddress::LocalHost, m_daemons->client_port(daemon));
+    loop.exec();
+    return started;
+}
+
+void soak_run::check_configuration()
+{
+    const auto await = [this](std::size_t daemon, const std::string& database,
+                              std::chrono::steady_clock::time_point limit) {
+        while (!starts_sessions(daemon, database)) {
+            if (std::chrono::steady_clock::now() >= limit) {
+                return false;
+            }
+            wait(std::chrono::milliseconds{50});
+        }
+        return true;
+    };
+    // A daemon that is still starting has no configuration to replace.
+    const auto ready_by = std::chrono::steady_clock::now() + m_options.recovery_limit;
+    for (std::size_t daemon = 0; daemon < m_daemons->size(); ++daemon) {
+        if (!await(daemon, "orders", ready_by)) {
+            m_oracle.violated("RECOVER: daemon " + std::to_string(daemon) + " starts no session");
+            return;
+        }
+    }
+    m_has_added_route = true;
+    write_configuration();
+    record_event("a configuration with one more route");
+    const auto limit = std::chrono::steady_clock::now() + configuration_limit;
+    for (std::size_t daemon = 0; daemon < m_daemons->size(); ++daemon) {
+        if (!await(daemon, added_route, limit)) {
+            m_oracle.violated("CONFIG: daemon " + std::to_string(daemon) +
+                              " does not use the newest configuration");
+        }
+    }
+}
+
 void soak_run::run_planned_stops()
 {
     m_group.set_lost_answers(0.0);
@@ -411,6 +479,7 @@
                           std::to_string(total_writes() - writes) +
                           " writes succeeded after the last fault");
     }
+    check_configuration();
     run_planned_stops();
     for (const auto& client : m_clients) {
         client->stop();
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -65,6 +65,9 @@
     void inject_link_fault(fault_proxy& link, const std::string& name);
     void request_primary_replacement();
     void end_faults();
+    /// Adds a route and checks that each daemon starts sessions on it in time.
+    void check_configuration();
+    [[nodiscard]] bool starts_sessions(std::size_t daemon, const std::string& database);
     void run_planned_stops();
     void wait(std::chrono::milliseconds time);
     [[nodiscard]] bool has_recovered_since(std::uint64_t reads, std::uint64_t writes) const;
@@ -89,6 +92,7 @@
     QTimer m_registration_timer;
     std::uint64_t m_configuration_version{1};
     std::string m_configuration; ///< the operator's newest
+    bool m_has_added_route{false};
     std::size_t m_planned_drills{0};
     std::size_t m_ended_drills{0};
     std::vector<std::string> m_events;
