--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -21,6 +21,10 @@
 /// Number of surveys that are repeated because most servers did not answer.
 constexpr std::uint32_t max_thin_surveys = 2;
 
+/// A claim under which a survey found no target is used for the next one while this much of its
+/// lease is left; then other daemons get their turn. Covers a survey, the claim and the order.
+constexpr store_time min_remaining_lease{1700};
+
 /// Maximum number of orders under one claim; after that, a new target is chosen.
 constexpr std::uint32_t max_orders_per_claim = 3;
 
@@ -46,6 +50,7 @@
     }
     m_reason = reason;
     if (m_step == step::idle) {
+        m_obstacle = "the promotion has begun";
         m_step = step::waiting;
         m_step_deadline = now + m_random.between(duration{0}, first_call_jitter);
     }
@@ -56,21 +61,20 @@
         begin_attempt(now);
         return;
     }
-    // The current step timed out.
-    retry_after(retry_backoff, now);
+    retry("a step of the promotion was not answered in time", now);
 }
 
 std::string coordinator::reason_to_promote() const
 {
-    if (m_group.replicas.empty()) {
+    if (m_group.replicas.empty() && m_group.other_members.empty()) {
         return {};
     }
     if (!m_group.primary) {
-        const bool may_be_unlisted =
-            !m_group.saw_primary && m_group.leaderless_for < unlisted_grace;
-        return m_group.leaderless_confirmed && !may_be_unlisted ? "no server leads the group" : "";
+        return m_group.leaderless_confirmed && !may_be_unlisted() ? "no server leads the group"
+                                                                  : "";
     }
-    if (m_group.primary_draining) {
+    if (m_group.primary_draining &&
+        (!m_group.replicas.empty() || m_group.primary_failing_for >= suspicion_delay)) {
         return "the primary is draining";
     }
     if (m_group.primary_failing_for >= suspicion_delay) {
@@ -79,6 +83,28 @@
     return {};
 }
 
+bool coordinator::may_be_unlisted() const
+{
+    return !m_group.saw_primary && m_group.leaderless_for < unlisted_grace;
+}
+
+std::string_view coordinator::obstacle() const
+{
+    if (m_step != step::idle) {
+        return m_obstacle;
+    }
+    if (m_group.replicas.empty() && m_group.other_members.empty()) {
+        return "no server of the group is registered";
+    }
+    if (!m_group.primary && !m_group.leaderless_confirmed) {
+        return "no list of the servers was read since the group is without a leader";
+    }
+    if (!m_group.primary && may_be_unlisted()) {
+        return "a leader may only be missing from the list of the servers";
+    }
+    return "the primary has not failed for long enough";
+}
+
 bool coordinator::needs_quorum() const
 {
     if (m_group.primary) {
@@ -103,6 +129,7 @@
     m_shared.reset();
     m_required.reset();
     m_replica_keeps_up = false;
+    m_survey_claimed = false;
     if (needs_quorum()) {
         add_action(report_suspicion{m_group.primary.value_or("")});
     }
@@ -120,7 +147,7 @@
 void coordinator::on_suspicion_written(call_outcome outcome, time_point now)
 {
     if (outcome == call_outcome::failed && m_step == step::reading) {
-        retry_after(retry_backoff, now);
+        retry("the store did not take this daemon's suspicion", now);
     }
 }
 
@@ -130,7 +157,7 @@
         return;
     }
     if (!state) {
-        retry_after(retry_backoff, now);
+        retry("the store does not answer", now);
         return;
     }
     m_shared = state;
@@ -139,25 +166,35 @@
             survey(now);
         }
         else {
-            retry_after(retry_backoff, now);
+            retry("another daemon took the claim over", now);
         }
         return;
     }
     if (state->current_claim && state->current_claim->holder != m_daemon &&
         is_leased(*state->current_claim, state->now)) {
-        retry_after(retry_backoff, now);
+        retry("another daemon holds the claim", now);
         return;
     }
     if (needs_quorum() && !has_quorum(*state)) {
-        retry_after(retry_backoff, now);
+        retry("too few daemons report that the group has no leader", now);
         return;
     }
-    if (m_group.old_primary_stops) {
-        survey(now);
-    }
-    else {
+    if (!m_group.old_primary_stops) {
         claim_lead(now);
+        return;
     }
+    if (state->current_claim && state->current_claim->holder == m_daemon &&
+        state->current_claim->target.empty() && is_leased(*state->current_claim, state->now)) {
+        const store_time age = state->now - state->current_claim->claimed_at;
+        if (claim_lease - age < min_remaining_lease) {
+            retry("the last survey found no target, and other daemons may try now", now);
+            return;
+        }
+        m_claim = *state->current_claim;
+        m_claimed_at = m_read_at - age;
+        m_survey_claimed = true;
+    }
+    survey(now);
 }
 
 bool coordinator::is_leased(const claim& value, store_time now)
@@ -174,6 +211,7 @@
         return false;
     }
     const bool had_begun = m_step != step::waiting;
+    m_obstacle = "the store went back, and lost claims may be written again";
     m_step = step::waiting;
     m_step_deadline = now + m_random.between(claims_restored_after,
                                              claims_restored_after + first_call_jitter * 2);
@@ -213,6 +251,7 @@
     next.token = std::max(newest_token, m_shared->min_token) + 1;
     next.claimed_at = m_shared->now;
     m_claim = std::move(next);
+    m_claimed_at = m_read_at;
     m_step = following;
     m_step_deadline = now + step_timeout;
     add_action(write_claim{m_claim, m_shared->claim_version});
@@ -236,6 +275,14 @@
         check_replicas(now);
         return;
     }
+    // Replicas that wait for the end of a stopped primary's log must go on receiving it. If none
+    // reaches it, the next survey compares the logs as they are.
+    const bool primary_stops = m_required || (is_planned() && primary_answers);
+    m_replicas_paused = is_synchronous && (!primary_stops || m_no_target_found);
+    if (m_replicas_paused && !m_survey_claimed) {
+        claim_survey(now);
+        return;
+    }
     m_step = step::surveying;
     m_step_deadline = now + step_timeout;
     survey_replicas next;
@@ -244,19 +291,35 @@
         next.reference = m_group.primary;
         next.demote = true;
     }
-    // Replicas that wait for the end of a stopped primary's log must go on receiving it. If none
-    // reaches it, the next survey compares the logs as they are.
-    const bool primary_stops = m_required || (is_planned() && primary_answers);
-    m_replicas_paused = is_synchronous && (!primary_stops || m_no_target_found);
     next.pause = m_replicas_paused;
     next.servers = candidates();
     if (next.pause) {
-        next.servers.insert(next.servers.end(), m_group.other_members.begin(),
-                            m_group.other_members.end());
+        m_paused_until = m_claimed_at + claim_lease;
+        next.exclusive_until = m_paused_until;
+        for (const std::string& server : m_group.other_members) {
+            if (std::find(next.servers.begin(), next.servers.end(), server) == next.servers.end()) {
+                next.servers.push_back(server);
+            }
+        }
     }
     add_action(std::move(next));
 }
 
+void coordinator::claim_survey(time_point now)
+{
+    if (m_group.old_primary_stops) {
+        write(claim{}, step::claiming_survey, now);
+        return;
+    }
+    // The hand-over may have taken most of the lease. The token stays, as the lead was handed over
+    // under it.
+    m_claim.claimed_at = m_shared->now;
+    m_claimed_at = m_read_at;
+    m_step = step::claiming_survey;
+    m_step_deadline = now + step_timeout;
+    add_action(write_claim{m_claim, m_shared->claim_version});
+}
+
 bool coordinator::is_planned() const
 {
     return m_group.old_primary_stops && m_group.primary && m_group.primary_draining;
@@ -285,16 +348,19 @@
         return;
     }
     // No ready replica could lead without a loss, so the primary is not stopped yet.
-    retry_after(retry_backoff, now);
+    retry("no ready replica keeps up with the draining primary", now);
 }
 
 std::vector<std::string> coordinator::candidates() const
 {
-    std::vector<std::string> servers = m_group.replicas;
+    // A draining server leads better than none.
+    const std::vector<std::string>& members =
+        m_group.replicas.empty() ? m_group.other_members : m_group.replicas;
+    std::vector<std::string> servers = members;
     if (!m_no_target_found) {
         std::erase(servers, m_excluded);
     }
-    return servers.empty() ? m_group.replicas : servers;
+    return servers.empty() ? members : servers;
 }
 
 bool coordinator::is_ready(const std::string& server) const
@@ -326,14 +392,14 @@
         m_thin_surveys < max_thin_surveys) {
         // A server that did not answer may have received more.
         ++m_thin_surveys;
-        retry_after(retry_backoff, now);
+        retry("most servers did not answer the survey", now);
         return;
     }
     const auto target = best_replica();
     m_no_target_found = !target;
     if (!target) {
         m_rejected_target.reset();
-        retry_after(retry_backoff, now);
+        retry("no server that answered is sure to hold every acknowledged commit", now);
         return;
     }
     claim next;
@@ -386,11 +452,17 @@
 
 void coordinator::on_claim_written(call_outcome outcome, time_point now)
 {
-    if (m_step != step::claiming && m_step != step::claiming_lead) {
+    if (m_step != step::claiming && m_step != step::claiming_lead &&
+        m_step != step::claiming_survey) {
         return;
     }
     if (outcome != call_outcome::done) {
-        retry_after(retry_backoff, now);
+        retry("the claim was not written", now);
+        return;
+    }
+    if (m_step == step::claiming_survey) {
+        m_survey_claimed = true;
+        read_state(step::reading_claim, now);
         return;
     }
     if (m_step == step::claiming_lead) {
@@ -405,10 +477,8 @@
 
 void coordinator::send_order(time_point now)
 {
-    // This process may have been suspended since it claimed, and another daemon may hold the claim.
-    // A platform that stops the old primary also refuses the old claim's token.
-    if (!m_group.old_primary_stops && now - m_read_at >= claim_lease - order_margin) {
-        retry_after(retry_backoff, now);
+    if (!may_order(now)) {
+        retry("the claim is too old for an order", now);
         return;
     }
     ++m_orders_sent;
@@ -417,6 +487,17 @@
     add_action(order_promotion{m_claim.target, m_claim.token});
 }
 
+bool coordinator::may_order(time_point now) const
+{
+    // This process may have been suspended since it claimed, and another daemon may hold the claim.
+    // A platform that stops the old primary also refuses the old claim's token, but servers that
+    // were paused for the survey may receive the log again.
+    const bool is_respected =
+        m_group.old_primary_stops || now - m_read_at < claim_lease - order_margin;
+    const bool is_paused = !m_replicas_paused || now < m_paused_until - order_margin;
+    return is_respected && is_paused;
+}
+
 void coordinator::on_order(call_outcome outcome, time_point now)
 {
     if (m_step != step::ordering) {
@@ -429,11 +510,11 @@
         break;
     case call_outcome::conflict:
         m_rejected_target = m_claim.target;
-        retry_after(retry_backoff, now);
+        retry("the platform refused the target", now);
         break;
     case call_outcome::failed:
         if (m_orders_sent >= max_orders_per_claim) {
-            retry_after(retry_backoff, now);
+            retry("the platform did not answer the order", now);
             break;
         }
         // Repeating the order is safe: with the same token it takes effect only once.
@@ -447,10 +528,11 @@
     return std::exchange(m_actions, {});
 }
 
-void coordinator::retry_after(duration backoff, time_point now)
+void coordinator::retry(const char* obstacle, time_point now)
 {
+    m_obstacle = obstacle;
     m_step = step::waiting;
-    m_step_deadline = now + m_random.between(backoff, backoff * 2);
+    m_step_deadline = now + m_random.between(retry_backoff, retry_backoff * 2);
 }
 
 void coordinator::finish()
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -284,6 +284,8 @@
 
     // Promotions: promotions.cpp.
     void update_promotion(database_group& group, time_point now);
+    void report_leaderless(database_group& group, const promotion::group_state& state,
+                           time_point now);
     void run_promotion_actions(database_group& group, time_point now);
     void start_survey(database_group& group, const promotion::survey_replicas& request,
                       time_point now);
@@ -292,6 +294,9 @@
     [[nodiscard]] bool awaits_reference(const database_group& group, time_point now) const;
     void finish_survey(database_group& group, time_point now);
     void resume_replicas(database_group& group, time_point now);
+    /// Resumes replicas after their time if the store tells of no other daemon's claim.
+    void allow_resuming(database_group& group, const promotion::shared_state& state,
+                        time_point now);
 
     // Change of the primary where the platform does not stop the old one: lead.cpp.
     [[nodiscard]] bool may_lead(const backend_server& server) const;
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -3,6 +3,7 @@
 #include "gypsumstep/proxy/proxy.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gypsumstep::proxy {
 namespace {
@@ -16,9 +17,26 @@
 /// Time before a replica is asked again whether it has received all that the old primary had.
 constexpr duration survey_retry_interval = 20ms;
 
-/// Replicas that were paused for a survey receive the log again after this time, whether or not
-/// one of them was promoted. Covers the claim, the order and the promotion.
-constexpr duration max_replica_pause = 4s;
+/// Replicas that were paused for a survey receive the log again this long before another daemon may
+/// pause them, whether or not one of them was promoted: time to open a connection and to send the
+/// command.
+constexpr duration resume_margin = 400ms;
+
+/// A command to receive the log again is not sent later than this before another daemon may pause
+/// the replica; covers its way to the server.
+constexpr duration resume_transit = 100ms;
+
+/// Replicas whose time to be resumed has passed are resumed within this time after the store was
+/// asked and told of no other daemon's claim. Shorter than another daemon needs to claim and pause.
+constexpr duration resume_check_lifetime = 200ms;
+
+/// Interval between these questions.
+constexpr duration resume_check_interval = 1s;
+
+/// A group counts as without a leader for the logs after this time, longer than most promotions;
+/// the log then tells at this interval why nobody was promoted.
+constexpr duration leaderless_report_delay = 2s;
+constexpr duration leaderless_report_interval = 5s;
 
 /// The command that asks a server for its position in \p survey.
 command_kind survey_command(const detail::replica_survey& survey, server_id server)
@@ -70,6 +88,7 @@
                       {"primary", state.primary.value_or("")},
                       {"failing_us", std::to_string(state.primary_failing_for.count())}});
     }
+    report_leaderless(group, state, now);
     run_promotion_actions(group, now);
     if (group.survey) {
         continue_survey(group, now);
@@ -77,6 +96,23 @@
     resume_replicas(group, now);
 }
 
+void proxy::report_leaderless(database_group& group, const promotion::group_state& state,
+                              time_point now)
+{
+    const duration lasting = state.primary ? state.primary_failing_for : state.leaderless_for;
+    if (lasting < leaderless_report_delay || now < group.next_leaderless_report) {
+        return;
+    }
+    group.next_leaderless_report = now + leaderless_report_interval;
+    log_decision(importance::failure, "a group has no leader", "",
+                 {{"service", group.service},
+                  {"obstacle", std::string{group.promotion.obstacle()}},
+                  {"leaderless_us", std::to_string(lasting.count())},
+                  {"primary", state.primary.value_or("")},
+                  {"ready_replicas", std::to_string(state.replicas.size())},
+                  {"other_servers", std::to_string(state.other_members.size())}});
+}
+
 void proxy::run_promotion_actions(database_group& group, time_point now)
 {
     if (group.promotion.in_progress()) {
@@ -113,6 +149,7 @@
 {
     detail::replica_survey survey;
     survey.pause_replicas = request.pause;
+    survey.exclusive_until = request.exclusive_until;
     survey.required_position = request.required;
     survey.deadline = now + survey_timeout;
     survey.next_request_at = now;
@@ -145,7 +182,9 @@
     command.kind = survey_command(survey, server.id);
     if (command.kind == command_kind::pause) {
         group.paused_replicas.insert(server.id);
-        group.resume_at = now + max_replica_pause;
+        group.resume_at = survey.exclusive_until - resume_margin;
+        group.resume_until = survey.exclusive_until - resume_transit;
+        group.resume_check_at.reset();
     }
     if (command.kind != command_kind::status) {
         command.at_term = group.primary_term.next();
@@ -280,6 +319,14 @@
     if (group.paused_replicas.empty() || now < group.resume_at) {
         return;
     }
+    if (now >= group.resume_until) {
+        // Another daemon may hold the claim and rely on the pause.
+        if (!group.resume_check_at || now - *group.resume_check_at >= resume_check_interval) {
+            group.resume_check_at = now;
+            emit(promotion_step{group.service, promotion::read_shared_state{}});
+        }
+        return;
+    }
     const std::set<server_id> paused = group.paused_replicas;
     for (const server_id id : paused) {
         backend_server* const server = find_server(id);
@@ -299,12 +346,31 @@
     }
 }
 
+void proxy::allow_resuming(database_group& group, const promotion::shared_state& state,
+                           time_point now)
+{
+    const time_point asked_at = *std::exchange(group.resume_check_at, std::nullopt);
+    const auto& claim = state.current_claim;
+    const bool is_free = !claim || claim->holder == m_options.daemon ||
+                         !promotion::coordinator::is_leased(*claim, state.now);
+    if (is_free && now - asked_at < resume_check_lifetime) {
+        group.resume_until = asked_at + resume_check_lifetime;
+        resume_replicas(group, now);
+    }
+    else {
+        group.resume_check_at = asked_at;
+    }
+}
+
 void proxy::on_shared_state(const std::string& service,
                             const std::optional<promotion::shared_state>& state, time_point now)
 {
     if (database_group* const group = find_group(service)) {
         group->promotion.on_shared_state(state, now);
         run_promotion_actions(*group, now);
+        if (state && group->resume_check_at) {
+            allow_resuming(*group, *state, now);
+        }
     }
 }
 
