Choose and share server connections by client account

Cause: a server admits 56 connections for 84 accounts and a new one takes 12 ms of a slot; the first version closed the longest idle connection and opened connections on several servers for one read. Change: decisions in dispatch (expected reuse, when opening pays, pace of handshakes, shares by role and region), homes by group and account, counters and log lines; used by proxy and edge. Ruled out: opening a connection for each waiting statement; equal shares at replicas.

--- a/packages/accounts/include/gypsumstep/accounts/account_table.h
+++ b/packages/accounts/include/gypsumstep/accounts/account_table.h
@@ -41,6 +41,11 @@
     /// Returns the account of that name, or nullptr.
     [[nodiscard]] const account* find_name(std::string_view name) const;
 
+    /// Returns the account's expected share of the traffic of all accounts, judged by their rates.
+    /// An account without a rate may send anything and counts as the only one; if none has a
+    /// rate, nothing is known and the share is 0.
+    [[nodiscard]] double traffic_share(std::string_view name) const;
+
     [[nodiscard]] const std::map<std::string, account, std::less<>>& accounts() const
     {
         return m_accounts;
--- a/packages/accounts/src/account_table.cpp
+++ b/packages/accounts/src/account_table.cpp
@@ -35,4 +35,17 @@
     return found == m_accounts.end() ? nullptr : &found->second;
 }
 
+double account_table::traffic_share(std::string_view name) const
+{
+    const account* const found = find_name(name);
+    double total = 0.0;
+    for (const auto& [key, entry] : m_accounts) {
+        total += entry.rate_per_second;
+    }
+    if (found == nullptr || total <= 0.0) {
+        return 0.0;
+    }
+    return found->rate_per_second > 0.0 ? found->rate_per_second / total : 1.0;
+}
+
 } // namespace gypsumstep::accounts
--- a/packages/edge/src/edge_metrics.cpp
+++ b/packages/edge/src/edge_metrics.cpp
@@ -67,6 +67,29 @@
     m_server_connections.set(static_cast<double>(numbers.server_connections));
     m_waiting_statements.set(static_cast<double>(numbers.waiting_statements));
     m_running_statements.set(static_cast<double>(numbers.running_statements));
+    const proxy::connection_counts& counts = numbers.connections;
+    const auto connections = [this](const char* event, std::uint64_t total) {
+        advance("gypsumstep_server_connection_events_total",
+                "Connections to backend servers by event", {{"event", event}}, total);
+    };
+    connections("opened", counts.opened);
+    connections("reused", counts.reused);
+    connections("closed_for_other_account", counts.closed_for_other);
+    connections("closed_for_limit", counts.closed_for_limit);
+    const auto waits = [this](const char* cause, std::uint64_t total) {
+        advance("gypsumstep_statement_waits_total", "Statements that waited, by cause",
+                {{"cause", cause}}, total);
+    };
+    waits("no_connection", counts.waits_for_connection);
+    waits("connection_limit", counts.waits_for_limit);
+    waits("slots", counts.waits_for_slot);
+}
+
+void edge_metrics::advance(const char* name, const char* help, const metrics::labels& labels,
+                           std::uint64_t total)
+{
+    metrics::counter& counted = m_registry.make_counter(name, help, labels);
+    counted.add(total - counted.value());
 }
 
 } // namespace gypsumstep::edge
--- a/packages/edge/src/edge_metrics.h
+++ b/packages/edge/src/edge_metrics.h
@@ -28,6 +28,10 @@
         metrics::histogram* latency{nullptr};
     };
 
+    /// Advances a counter to a total that the proxy counted.
+    void advance(const char* name, const char* help, const metrics::labels& labels,
+                 std::uint64_t total);
+
     metrics::registry& m_registry;
     std::map<std::pair<directory::consistency, statement::error_class>, outcome_metrics> m_outcomes;
     std::map<const char*, metrics::counter*> m_decisions;
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -91,6 +91,11 @@
                   [this](const adapter::start_message& start) {
                       const directory::route* const route = m_proxy.routes().find(start.database);
                       return route == nullptr || m_proxy.authorize(*route, start.key).granted;
+                  },
+                  [this](session_id id, const adapter::start_message& start) {
+                      m_proxy.on_client_connected(id, boot_now());
+                      m_proxy.on_client_start(id, start.database, start.key, boot_now());
+                      run_actions();
                   }},
       m_server_connections{
           m_settings.name,
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -67,6 +67,10 @@
     client_listener& listener_of(session_id id);
     void on_client_started(session_id id, const adapter::start_message& message);
     void start_session(session_id id, const adapter::start_message& message);
+    /// True if this daemon is the home for the account's sessions of that group.
+    [[nodiscard]] bool serves_session(const std::string& service, std::uint32_t max_connections,
+                                      const homes::account_traffic& account) const;
+    [[nodiscard]] homes::account_traffic traffic_of(const std::string& account) const;
     /// Starts the clients' sessions that waited for the list of daemons.
     void run_client_starts();
     void on_client_closed(session_id id);
--- a/packages/edge/src/edge_sessions.cpp
+++ b/packages/edge/src/edge_sessions.cpp
@@ -48,14 +48,18 @@
 {
     const directory::route* const route = m_proxy.routes().find(message.database);
     // A session that the proxy will refuse is not forwarded.
-    if (route != nullptr && m_proxy.authorize(*route, message.key).granted) {
+    const directory::authorization client =
+        route == nullptr ? directory::authorization{} : m_proxy.authorize(*route, message.key);
+    if (client.granted) {
         const auto max_connections = m_proxy.routes().settings_of(route->service).max_connections;
-        if (!m_roster.homes().is_home(route->service, max_connections)) {
+        const homes::account_traffic account = traffic_of(client.account);
+        if (!serves_session(route->service, max_connections, account)) {
             m_proxy.on_client_closed(id, boot_now());
             m_forwarder.forward(id, {{message.database, message.key, m_proxy.routes().version()},
                                      route->service,
                                      max_connections,
-                                     route->statement_timeout});
+                                     route->statement_timeout,
+                                     account});
             schedule_tick();
             return;
         }
@@ -64,6 +68,28 @@
     run_actions();
 }
 
+bool edge_process::serves_session(const std::string& service, std::uint32_t max_connections,
+                                  const homes::account_traffic& account) const
+{
+    const homes::home_table& table = m_roster.homes();
+    if (!table.is_home(service, max_connections)) {
+        return false;
+    }
+    // A hop inside the region costs less than the handshakes of an account whose sessions are
+    // spread over the homes.
+    return account.name.empty() ||
+           table.serves_account(service, max_connections, account, boot_now());
+}
+
+homes::account_traffic edge_process::traffic_of(const std::string& account) const
+{
+    const auto& accounts = m_proxy.routes().current().accounts;
+    if (account.empty() || !accounts) {
+        return {};
+    }
+    return {account, accounts->traffic_share(account)};
+}
+
 void edge_process::on_forwarded_start(session_id id, const adapter::start_message& message)
 {
     // The forwarding daemon may use a newer configuration; the session must not start under an
@@ -128,8 +154,14 @@
                                           std::uint32_t max_connections) const
 {
     const homes::home_table& table = m_roster.homes();
-    return {table.connection_share(service, max_connections),
-            static_cast<std::uint32_t>(table.homes_of(service, max_connections).size())};
+    const std::vector<homes::daemon_entry>& homes = table.homes_of(service, max_connections);
+    proxy::group_share share{table.connection_share(service, max_connections),
+                             static_cast<std::uint32_t>(homes.size()), max_connections};
+    for (const homes::daemon_entry& home : homes) {
+        const auto region = m_settings.regions.find(home.domain);
+        ++share.homes_by_region[region == m_settings.regions.end() ? home.domain : region->second];
+    }
+    return share;
 }
 
 void edge_process::run_client_starts()
--- a/packages/edge/src/session_forwarder.cpp
+++ b/packages/edge/src/session_forwarder.cpp
@@ -36,17 +36,21 @@
 
 session_forwarder::session_forwarder(
     client_listener& clients, homes::home_table& homes, std::uint64_t seed,
-    std::function<bool(const adapter::start_message&)> is_authorized)
+    std::function<bool(const adapter::start_message&)> is_authorized,
+    std::function<void(session_id, const adapter::start_message&)> serve_here)
     : m_clients{clients}, m_homes{homes}, m_random{seed}, m_is_authorized{std::move(is_authorized)},
-      m_next_turn{m_random.below(UINT32_MAX)}
+      m_serve_here{std::move(serve_here)}, m_next_turn{m_random.below(UINT32_MAX)}
 {
 }
 
 void session_forwarder::forward(session_id id, session_request request)
 {
     auto entry = std::make_unique<session_entry>();
-    entry->home_order = m_homes.forwarding_order(request.service, request.max_connections,
-                                                 m_next_turn++, boot_now());
+    entry->home_order = request.account.name.empty()
+                            ? m_homes.forwarding_order(request.service, request.max_connections,
+                                                       m_next_turn++, boot_now())
+                            : m_homes.account_order(request.service, request.max_connections,
+                                                    request.account, m_next_turn++, boot_now());
     entry->request = std::move(request);
     if (m_shutdown) {
         entry->close_time = m_shutdown->close_window_end();
@@ -72,6 +76,10 @@
         return;
     }
     const homes::daemon_entry home = session.home_order[session.next_home++];
+    if (home.name == m_homes.self()) {
+        hand_back(id);
+        return;
+    }
     session.home = home.name;
     session.start_deadline = boot_now() + start_timeout;
     session.socket = new QTcpSocket{this};
@@ -93,6 +101,16 @@
     socket->connectToHost(QHostAddress{QString::fromStdString(home.host)}, home.port);
 }
 
+void session_forwarder::hand_back(session_id id)
+{
+    log().info("serving a session here: the home of its account did not accept it",
+               {{"session", id.value()}});
+    const adapter::start_message start = m_sessions.at(id)->request.start;
+    m_sessions.erase(id);
+    m_clients.set_line_handler(id, {});
+    m_serve_here(id, start);
+}
+
 void session_forwarder::on_client_line(session_id id, const std::string& line)
 {
     const auto found = m_sessions.find(id);
--- a/packages/edge/src/session_forwarder.h
+++ b/packages/edge/src/session_forwarder.h
@@ -26,8 +26,11 @@
 public:
     /// \param is_authorized whether the client that sent this start may use its database under the
     ///     configuration in force
+    /// \param serve_here starts a session on this daemon, which is a home as well, since the homes
+    ///     that its account prefers did not accept it
     session_forwarder(client_listener& clients, homes::home_table& homes, std::uint64_t seed,
-                      std::function<bool(const adapter::start_message&)> is_authorized);
+                      std::function<bool(const adapter::start_message&)> is_authorized,
+                      std::function<void(session_id, const adapter::start_message&)> serve_here);
 
     /// The database that a session asks for, its group, and how long a statement may take.
     struct session_request {
@@ -35,6 +38,7 @@
         std::string service;
         std::uint32_t max_connections{0};
         duration statement_timeout{0};
+        homes::account_traffic account{}; ///< without a name if the client has no account
     };
 
     /// Forwards a session that a client of this daemon just started. Tries the homes in turn
@@ -75,6 +79,7 @@
     };
 
     void try_next_home(session_id id);
+    void hand_back(session_id id);
     void on_client_line(session_id id, const std::string& line);
     void read_from_home(session_id id);
     /// Handles a line from the home; true if the home refused the session and was given up.
@@ -90,6 +95,7 @@
     homes::home_table& m_homes;
     random_source m_random;
     std::function<bool(const adapter::start_message&)> m_is_authorized;
+    std::function<void(session_id, const adapter::start_message&)> m_serve_here;
     std::map<session_id, std::unique_ptr<session_entry>> m_sessions;
     std::uint64_t m_next_turn; ///< spreads sessions over homes that are equally near
     std::optional<proxy::shutdown_schedule> m_shutdown;
--- a/packages/edge/tests/test_session_forwarder.cpp
+++ b/packages/edge/tests/test_session_forwarder.cpp
@@ -48,7 +48,8 @@
     bool authorized{true};
     client_listener clients{events(), session_id{1}, adapter::line_sender::client};
     session_forwarder forwarder{clients, table, 1,
-                                [this](const adapter::start_message&) { return authorized; }};
+                                [this](const adapter::start_message&) { return authorized; },
+                                [](session_id, const adapter::start_message&) {}};
     QTcpSocket client;
     std::string client_received;
 
@@ -269,3 +270,52 @@
     CHECK(run_until(
         [&] { return daemon.client_received == "ERROR NOAUTH the key is not known\r\n"; }));
 }
+
+// Guards against sessions of a home that leave the region, or are refused, since the home of
+// their account is lost.
+TEST_CASE("a home serves a session itself if its account's home does not accept it")
+{
+    application();
+    constexpr std::uint32_t three_homes = 12;
+    homes::home_table table{"self", "b", {{"a", "west"}, {"b", "west"}, {"c", "east"}}};
+    // Nothing listens on port 1.
+    table.set_daemons(
+        {{"lost", "a", "127.0.0.1", 1}, {"self", "b", "", 0}, {"far", "c", "127.0.0.1", 1}});
+    homes::account_traffic account{"account0", 0.01};
+    for (int number = 1; table.serves_account("s", three_homes, account, boot_now()); ++number) {
+        account.name = "account" + std::to_string(number);
+    }
+    std::string served;
+    client_listener* listener = nullptr;
+    session_forwarder* forwarder = nullptr;
+    client_events handlers;
+    handlers.connected = [](session_id) {};
+    handlers.started = [&](session_id id, const adapter::start_message& message) {
+        forwarder->forward(
+            id,
+            {{message.database, message.key, config_version{7}}, "s", three_homes, 100ms, account});
+    };
+    handlers.closed = [](session_id) {};
+    handlers.malformed = [](session_id, const std::string&) {};
+    handlers.statement_received = [&](session_id, const statement::statement& request) {
+        served += " " + request.text;
+    };
+    client_listener clients{handlers, session_id{1}, adapter::line_sender::client};
+    session_forwarder forwarding{clients, table, 1,
+                                 [](const adapter::start_message&) { return true; },
+                                 [&](session_id id, const adapter::start_message& message) {
+                                     served = message.database;
+                                     listener->send_start_answer(id, {});
+                                 }};
+    listener = &clients;
+    forwarder = &forwarding;
+    REQUIRE(clients.listen("127.0.0.1", listen_port));
+    QTcpSocket client;
+    client.connectToHost(QHostAddress::LocalHost, listen_port);
+    client.write("START orders k1\r\n");
+    REQUIRE(run_until([&] { return served == "orders"; }));
+    CHECK(forwarding.session_count() == 0);
+    CHECK(table.serves_account("s", three_homes, account, boot_now()));
+    client.write("QUERY 1 READ a\r\n");
+    CHECK(run_until([&] { return served.size() > 6; }));
+}
--- a/packages/homes/include/gypsumstep/homes/home_table.h
+++ b/packages/homes/include/gypsumstep/homes/home_table.h
@@ -54,6 +54,14 @@
     return value.announced_at < now - announcement_lifetime;
 }
 
+/// A client account, and its expected share of the traffic of all accounts.
+struct account_traffic {
+    std::string name; ///< empty for none
+    double share{0.0};
+
+    friend bool operator==(const account_traffic&, const account_traffic&) = default;
+};
+
 /// Selects homes by weighted rendezvous hashing.
 class home_table {
 public:
@@ -94,6 +102,7 @@
     void set_daemons(std::vector<daemon_entry> daemons);
 
     [[nodiscard]] const std::vector<daemon_entry>& daemons() const { return m_daemons; }
+    [[nodiscard]] const std::string& self() const { return m_self; }
 
     /// Returns the homes of a group whose servers accept \p max_connections connections each
     /// (0 for no limit), or all daemons if the servers can serve all of them.
@@ -118,6 +127,21 @@
                                                              std::uint64_t session_number,
                                                              time_point now) const;
 
+    /// Returns the homes in the order in which a session of an account tries them, this daemon
+    /// included if it is one. The sessions of an account meet at one home of the region, so that
+    /// they share their account's server connections; those of an account with a large share of
+    /// the traffic are spread over all homes of the region. Without an account, near homes come
+    /// first. Homes in other regions come last, but before daemons that failed recently.
+    [[nodiscard]] std::vector<daemon_entry> account_order(std::string_view service,
+                                                          std::uint32_t max_connections,
+                                                          const account_traffic& account,
+                                                          std::uint64_t session_number,
+                                                          time_point now) const;
+
+    /// Returns true if this daemon is the first choice for a session of the account.
+    [[nodiscard]] bool serves_account(std::string_view service, std::uint32_t max_connections,
+                                      const account_traffic& account, time_point now) const;
+
     /// Records that a daemon failed to accept a session.
     void mark_failed(const std::string& daemon, time_point now);
 
@@ -133,6 +157,10 @@
 
     [[nodiscard]] std::vector<daemon_entry> select_homes(std::string_view service,
                                                          std::uint32_t max_connections) const;
+    [[nodiscard]] bool is_concentrated(const account_traffic& account,
+                                       const std::vector<daemon_entry>& homes,
+                                       std::uint32_t max_connections) const;
+    [[nodiscard]] bool is_failing(const std::string& daemon, time_point now) const;
     [[nodiscard]] int distance_to(const std::string& domain) const;
 
     std::string m_self;
--- a/packages/homes/src/home_table.cpp
+++ b/packages/homes/src/home_table.cpp
@@ -1,39 +1,11 @@
 #include "gypsumstep/homes/home_table.h"
 
-#include "gypsumstep/base/random.h"
+#include "rendezvous.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace gypsumstep::homes {
-namespace {
-
-/// Returns the FNV-1a hash, which is the same on every VM.
-std::uint64_t hash_of(std::string_view text)
-{
-    constexpr std::uint64_t offset = 14695981039346656037ULL;
-    constexpr std::uint64_t prime = 1099511628211ULL;
-    std::uint64_t hash = offset;
-    for (const char character : text) {
-        hash = (hash ^ static_cast<unsigned char>(character)) * prime;
-    }
-    return hash;
-}
-
-/// Returns the daemon's score for weighted rendezvous hashing. The chance of the highest score
-/// grows with the square of the capacity, since a slow daemon also answers each statement later.
-double score(const daemon_entry& daemon, std::string_view service)
-{
-    constexpr double hash_range = 18446744073709551616.0; // 2^64
-    const std::uint64_t hash = hash_combine(hash_of(daemon.name), hash_of(service));
-    const double unit = (static_cast<double>(hash) + 1.0) / (hash_range + 2.0);
-    const double capacity = std::max<double>(daemon.capacity, 1.0);
-    return capacity * capacity / -std::log(unit);
-}
-
-} // namespace
-
 home_table::home_table(std::string self, std::string domain,
                        std::map<std::string, std::string, std::less<>> regions)
     : m_self{std::move(self)}, m_domain{std::move(domain)}, m_regions{std::move(regions)}
@@ -87,7 +59,7 @@
         std::vector<scored> members;
         members.reserve(places.size());
         for (const std::size_t place : places) {
-            members.emplace_back(score(m_daemons[place], service), place);
+            members.emplace_back(group_score(m_daemons[place], service), place);
         }
         const std::size_t count = std::min(per_domain, members.size());
         std::partial_sort(members.begin(),
@@ -134,10 +106,8 @@
     std::vector<daemon_entry> homes = homes_of(service, max_connections);
     std::erase_if(homes, [this](const daemon_entry& daemon) { return daemon.name == m_self; });
     const auto key = [&](const daemon_entry& daemon) {
-        const auto found = m_failed.find(daemon.name);
-        const bool failing = found != m_failed.end() && now - found->second < failure_backoff;
-        return std::tuple{failing, distance_to(daemon.domain),
-                          hash_combine(hash_of(daemon.name), session_number)};
+        return std::tuple{is_failing(daemon.name, now), distance_to(daemon.domain),
+                          session_hash(daemon.name, session_number)};
     };
     std::sort(homes.begin(), homes.end(), [&](const daemon_entry& left, const daemon_entry& right) {
         return key(left) < key(right);
@@ -155,6 +125,12 @@
     m_failed.erase(daemon);
 }
 
+bool home_table::is_failing(const std::string& daemon, time_point now) const
+{
+    const auto found = m_failed.find(daemon);
+    return found != m_failed.end() && now - found->second < failure_backoff;
+}
+
 int home_table::distance_to(const std::string& domain) const
 {
     if (domain == m_domain) {
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -4,6 +4,7 @@
 
 #include "gypsumstep/directory/route_table.h"
 #include "gypsumstep/directory/server_directory.h"
+#include "gypsumstep/dispatch/connection_choice.h"
 #include "gypsumstep/dispatch/server_choice.h"
 #include "gypsumstep/dispatch/wait_estimate.h"
 #include "gypsumstep/dispatch/wait_queue.h"
@@ -57,8 +58,10 @@
     bool hedged{false};
     time_point sent_at{};
     std::uint32_t attempts{0};
-    server_connection_id connection; ///< the connection that it is assigned to
-    server_id server;                ///< the server that it was last assigned to
+    server_connection_id connection;         ///< the connection that it is assigned to
+    server_id server;                        ///< the server that it was last assigned to
+    std::optional<server_id> awaited_server; ///< where it waits for a connection of its account
+    std::uint8_t counted_waits{0};           ///< causes of waiting counted so far, as bits
 };
 
 using task_ptr = boost::intrusive_ptr<task>;
@@ -122,8 +125,10 @@
     task_ptr work;                               ///< empty if its answer is not awaited any more
     statement::server_command command;
     time_point command_sent_at{};
-    time_point deadline{};   ///< when the pending command times out
-    time_point idle_since{}; ///< when it last became idle
+    time_point deadline{};              ///< when the pending command times out
+    time_point idle_since{};            ///< when it last became idle
+    bool was_used{false};               ///< a client's statement ran on it
+    std::optional<time_point> taken_at; ///< when a client's statement or transaction took it
 };
 
 /// The proxy's state of a backend server, in addition to its registration.
@@ -137,6 +142,11 @@
     std::uint32_t opening_connections{0};
     std::uint32_t connection_limit{0};
     time_point connection_limit_raised_at{};
+    time_point added_at{};
+    time_point too_many_at{};      ///< when it last refused a connection for having too many
+    dispatch::account_usage usage; ///< of this daemon's connections to it
+    dispatch::handshake_pace pace;
+    duration opening_time{50ms}; ///< usual time to open a connection; initially one to a far server
     duration usual_time{0};
     dispatch::replica_lag_estimate lag;
     log_position newest_position; ///< newest log position that it reported
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -10,6 +10,8 @@
 #include "gypsumstep/directory/authorization.h"
 #include "gypsumstep/directory/route_table.h"
 #include "gypsumstep/directory/server_directory.h"
+#include "gypsumstep/dispatch/connection_choice.h"
+#include "gypsumstep/dispatch/connection_share.h"
 #include "gypsumstep/promotion/claim_exchange.h"
 #include "gypsumstep/proxy/actions.h"
 #include "gypsumstep/proxy/detail/state.h"
@@ -23,6 +25,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -40,16 +43,35 @@
 struct group_share {
     std::uint32_t connections{0}; ///< maximum number of connections to each server
     std::uint32_t homes{0};       ///< number of daemons that share the servers; 0 if unknown
+    /// Connections that each server accepts, and the number of homes in each region. With client
+    /// accounts, the share of a server depends on its role and region; 0 for equal shares.
+    std::uint32_t max_connections{0};
+    std::map<std::string, std::uint32_t> homes_by_region{};
 
     friend bool operator==(const group_share&, const group_share&) = default;
 };
 
+/// Counts of events of server connections since the start of the process.
+struct connection_counts {
+    std::uint64_t opened{0};
+    std::uint64_t reused{0};           ///< uses of a connection that had been used before
+    std::uint64_t closed_for_other{0}; ///< idle ones, closed for another client account
+    std::uint64_t closed_for_limit{0}; ///< idle ones, closed since other daemons need room
+    /// Statements that waited for a connection of their account to be opened or freed.
+    std::uint64_t waits_for_connection{0};
+    std::uint64_t waits_for_limit{0}; ///< statements that waited since all connections were taken
+    std::uint64_t waits_for_slot{0};  ///< statements that waited for a slot of a server
+
+    friend bool operator==(const connection_counts&, const connection_counts&) = default;
+};
+
 /// Values of the proxy's gauges.
 struct proxy_gauges {
     std::size_t sessions{0};
     std::size_t server_connections{0};
     std::size_t waiting_statements{0};
     std::size_t running_statements{0};
+    connection_counts connections;
 };
 
 /// Routes the statements of clients to backend servers and holds all state that this needs. All
@@ -178,9 +200,12 @@
 
     // Choosing servers: dispatching.cpp.
     void dispatch(database_group& group, time_point now);
-    bool try_start(database_group& group, const task_ptr& work, time_point now);
-    bool try_start_on_primary(database_group& group, const task_ptr& work, time_point now);
-    bool try_start_read(database_group& group, const task_ptr& work, time_point now);
+    bool try_start(database_group& group, const task_ptr& work, dispatch::demand_table& demands,
+                   time_point now);
+    bool try_start_on_primary(database_group& group, const task_ptr& work,
+                              dispatch::demand_table& demands, time_point now);
+    bool try_start_read(database_group& group, const task_ptr& work,
+                        dispatch::demand_table& demands, time_point now);
     [[nodiscard]] dispatch::candidate make_candidate(const database_group& group,
                                                      const backend_server& server, const task& work,
                                                      time_point now) const;
@@ -196,15 +221,73 @@
                                            const std::string& account) const;
     void open_connection_if_allowed(backend_server& server, const std::string& account,
                                     time_point now);
-    bool close_idle_connection_of_other(backend_server& server, const std::string& account,
-                                        time_point now);
     [[nodiscard]] bool may_open_connection(const backend_server& server, const std::string& account,
                                            time_point now) const;
-    void request_watermark(database_group& group, time_point acknowledged_before, time_point now);
+    void request_watermark(database_group& group, time_point acknowledged_before,
+                           const std::string& account, time_point now);
     void enqueue(database_group& group, const task_ptr& work);
     void requeue(const task_ptr& work, duration backoff, time_point now);
     [[nodiscard]] bool is_usable(const backend_server& server, time_point now) const;
 
+    // Connections of client accounts: account_connections.cpp.
+
+    /// Why a statement waits.
+    enum class wait_cause : std::uint8_t { no_connection, connection_limit, slots };
+
+    /// An idle connection that may be closed, and its expected uses per second.
+    struct closable {
+        server_connection_id connection;
+        double reuse_rate{0.0};
+    };
+
+    /// Whether a connection should and can be opened for a statement.
+    struct opening_check {
+        dispatch::opening_input input;
+        std::optional<closable> to_close; ///< if the limit is reached
+        bool is_worthwhile{false};
+        bool has_room{false};
+        bool may_open_now{false};
+    };
+
+    [[nodiscard]] bool uses_accounts() const;
+    [[nodiscard]] std::vector<dispatch::pooled_connection> pool_of(const backend_server& server,
+                                                                   time_point now) const;
+    [[nodiscard]] std::optional<closable> find_closable(const backend_server& server,
+                                                        std::optional<std::string_view> needed_by,
+                                                        time_point now) const;
+    void close_for_account(const backend_server& server, const closable& chosen,
+                           const std::string& account, time_point now);
+    [[nodiscard]] dispatch::account_demand& demand_at(dispatch::demand_table& demands,
+                                                      const backend_server& server,
+                                                      const std::string& account) const;
+    [[nodiscard]] opening_check check_opening(const backend_server& server, const task& work,
+                                              const dispatch::account_demand& demand,
+                                              time_point now) const;
+    /// Opens a connection for a statement if that is worthwhile and allowed. Returns false if a
+    /// connection is needed and can't be opened now.
+    bool await_connection(backend_server& server, const task_ptr& work,
+                          dispatch::demand_table& demands, time_point now);
+    bool try_start_read_of_account(database_group& group, const task_ptr& work,
+                                   std::vector<dispatch::candidate> candidates,
+                                   dispatch::demand_table& demands, time_point now);
+    void count_wait(task& work, wait_cause cause);
+    void open_connection(backend_server& server, const std::string& account, time_point now);
+    /// Opens a connection for the proxy's own commands, which run on one of any account.
+    void open_probe_connection(backend_server& server, const std::string& account, time_point now);
+    [[nodiscard]] std::string usual_account(const backend_server& server, time_point now) const;
+    void on_connection_taken(server_connection& connection, const task& work, time_point now);
+    void on_connection_returned(server_connection& connection, time_point now);
+    static void on_connection_opened(backend_server& server, const server_connection& connection,
+                                     time_point now);
+    void on_too_many_connections(backend_server& server, time_point now);
+    [[nodiscard]] std::uint32_t connection_share_of(const backend_server& server) const;
+    void update_connections(backend_server& server, time_point now);
+    [[nodiscard]] bool is_idle_too_long(const server_connection& connection, time_point now);
+    [[nodiscard]] duration connection_wait(const database_group& group, const task& work,
+                                           time_point now) const;
+    [[nodiscard]] duration connection_wait_at(const backend_server& server, const task& work,
+                                              time_point now) const;
+
     // Server connections: server_side.cpp.
     void assign(server_connection& connection, const task_ptr& work, time_point now);
     void send_next_command(server_connection& connection, time_point now);
@@ -250,7 +333,7 @@
     database_group* find_group(const std::string& service);
     void choose_primary(database_group& group, time_point now);
     void set_primary(database_group& group, std::optional<server_id> chosen);
-    void add_server(const directory::server_record& record);
+    void add_server(const directory::server_record& record, time_point now);
     void remove_server(server_id id, time_point now);
     void erase_server(server_id id);
     [[nodiscard]] dispatch::proximity proximity_of(const std::string& domain) const;
@@ -337,6 +420,7 @@
     std::map<server_id, std::unique_ptr<backend_server>> m_servers;
     std::map<std::string, std::unique_ptr<database_group>, std::less<>> m_groups;
     std::uint64_t m_next_connection{1};
+    connection_counts m_connection_counts;
     std::uint64_t m_finished_statements{0};
     double m_hedge_credit{0.0};
     std::optional<promotion::claim_exchange> m_exchange; ///< empty if the old primary stops
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -43,20 +43,22 @@
 {
     // Starting a statement may finish others and so change the queue; the visitor itself
     // removes only the item passed to it.
+    dispatch::demand_table demands;
     group.queue.visit([&](dispatch::queued_statement& item) {
         const task_ptr work{static_cast<task*>(&item)};
         if (now < work->not_before) {
             return true;
         }
-        try_start(group, work, now);
+        try_start(group, work, demands, now);
         return true;
     });
 }
 
-bool proxy::try_start(database_group& group, const task_ptr& work, time_point now)
+bool proxy::try_start(database_group& group, const task_ptr& work, dispatch::demand_table& demands,
+                      time_point now)
 {
-    return work->needs_primary ? try_start_on_primary(group, work, now)
-                               : try_start_read(group, work, now);
+    return work->needs_primary ? try_start_on_primary(group, work, demands, now)
+                               : try_start_read(group, work, demands, now);
 }
 
 bool proxy::is_usable(const backend_server& server, time_point now) const
@@ -80,7 +82,8 @@
     return statement_limit(server) + (work.priority == 0 ? m_options.urgent_reserve : 0);
 }
 
-bool proxy::try_start_on_primary(database_group& group, const task_ptr& work, time_point now)
+bool proxy::try_start_on_primary(database_group& group, const task_ptr& work,
+                                 dispatch::demand_table& demands, time_point now)
 {
     backend_server* const primary = group.primary ? find_server(*group.primary) : nullptr;
     if (primary == nullptr || !is_usable(*primary, now) || !is_lead_usable(group, now)) {
@@ -88,9 +91,14 @@
     }
     const bool takes_slot = work->kind == detail::task_kind::statement;
     if (takes_slot && primary->running >= statement_limit_for(*work, *primary)) {
+        count_wait(*work, wait_cause::slots);
         return false;
     }
     server_connection* const connection = find_idle_connection(*primary, work.get());
+    if (connection == nullptr && uses_accounts()) {
+        (void)await_connection(*primary, work, demands, now);
+        return false;
+    }
     if (connection == nullptr) {
         open_connection_if_allowed(*primary, work->account, now);
         return false;
@@ -118,11 +126,12 @@
     return candidate;
 }
 
-bool proxy::try_start_read(database_group& group, const task_ptr& work, time_point now)
+bool proxy::try_start_read(database_group& group, const task_ptr& work,
+                           dispatch::demand_table& demands, time_point now)
 {
     work->required_position = group.watermarks.position_for(work->bound);
     if (!work->required_position) {
-        request_watermark(group, work->bound.acknowledged_before, now);
+        request_watermark(group, work->bound.acknowledged_before, work->account, now);
         return false;
     }
     std::vector<dispatch::candidate> candidates;
@@ -136,7 +145,12 @@
             continue;
         }
         const auto candidate = make_candidate(group, *server, *work, now);
-        if (!candidate.needs_connection || may_open_connection(*server, work->account, now)) {
+        const auto has_connection = [&] {
+            const auto& demand = demand_at(demands, *server, work->account);
+            return demand.running + demand.opening > 0;
+        };
+        if (!candidate.needs_connection || may_open_connection(*server, work->account, now) ||
+            (uses_accounts() && has_connection())) {
             candidates.push_back(candidate);
         }
     }
@@ -144,6 +158,9 @@
         work->avoided_servers.clear();
         return false;
     }
+    if (uses_accounts()) {
+        return try_start_read_of_account(group, work, std::move(candidates), demands, now);
+    }
     while (const auto chosen = dispatch::choose_for_read(candidates)) {
         backend_server& target = *find_server(*chosen);
         if (server_connection* const connection = find_idle_connection(target, work.get())) {
@@ -184,7 +201,8 @@
 duration proxy::expected_wait(const database_group& group, const task& work, std::size_t ahead,
                               time_point now) const
 {
-    return group.estimate.expected_wait(ahead, available_capacity(group, work, now));
+    return std::max(group.estimate.expected_wait(ahead, available_capacity(group, work, now)),
+                    connection_wait(group, work, now));
 }
 
 bool proxy::has_idle_connection(const backend_server& server, const std::string& account) const
@@ -233,63 +251,32 @@
                        });
 }
 
-bool proxy::close_idle_connection_of_other(backend_server& server, const std::string& account,
-                                           time_point now)
-{
-    const server_connection* oldest = nullptr;
-    for (const server_connection_id id : server.connections) {
-        const server_connection* const connection = find_connection(id);
-        if (connection->phase == detail::connection_phase::idle && connection->account != account &&
-            (oldest == nullptr || connection->idle_since < oldest->idle_since)) {
-            oldest = connection;
-        }
-    }
-    if (oldest == nullptr) {
-        return false;
-    }
-    close_connection(oldest->id, "another client account needed a connection", now);
-    return true;
-}
-
 void proxy::open_connection_if_allowed(backend_server& server, const std::string& account,
                                        time_point now)
 {
-    if (server.opening_connections >= max_opening || !may_open_connection(server, account, now)) {
+    if (uses_accounts()) {
+        open_probe_connection(server, account, now);
         return;
     }
-    const bool is_opening = std::any_of(
-        server.connections.begin(), server.connections.end(), [&](server_connection_id id) {
-            const server_connection& connection = *m_connections.at(id);
-            return connection.phase == detail::connection_phase::opening &&
-                   connection.account == account;
-        });
-    // Connections of an account can't serve others, so at most one is opened for it at a time.
-    if (is_opening && !account.empty()) {
+    if (server.opening_connections >= max_opening || !may_open_connection(server, account, now)) {
         return;
     }
-    const directory::server_record* const record = m_directory.find(server.id);
-    if (record == nullptr && !is_being_released(server)) {
+    if (m_directory.find(server.id) == nullptr && !is_being_released(server)) {
         return;
     }
-    if (server.connections.size() >= server.connection_limit &&
-        !close_idle_connection_of_other(server, account, now)) {
-        return;
+    if (server.connections.size() >= server.connection_limit) {
+        // Connections of accounts are left from a configuration that had some.
+        const auto chosen = find_closable(server, account, now);
+        if (!chosen) {
+            return;
+        }
+        close_for_account(server, *chosen, account, now);
     }
-    const server_connection_id id{m_next_connection++};
-    auto opened = std::make_unique<server_connection>();
-    opened->id = id;
-    opened->server = server.id;
-    opened->account = account;
-    opened->command_sent_at = now;
-    opened->deadline = now + m_options.connect_timeout;
-    m_connections.emplace(id, std::move(opened));
-    server.connections.insert(id);
-    ++server.opening_connections;
-    const directory::server_entry& entry = record == nullptr ? server.entry : record->entry;
-    emit(open_server_connection{id, entry.host, entry.port, entry.service, entry.name, account});
+    open_connection(server, account, now);
 }
 
-void proxy::request_watermark(database_group& group, time_point acknowledged_before, time_point now)
+void proxy::request_watermark(database_group& group, time_point acknowledged_before,
+                              const std::string& account, time_point now)
 {
     if (group.watermark_requests > 0 && group.newest_watermark_request >= acknowledged_before) {
         return;
@@ -303,7 +290,7 @@
     }
     server_connection* const connection = find_idle_connection(*primary, nullptr);
     if (connection == nullptr) {
-        open_connection_if_allowed(*primary, {}, now);
+        open_connection_if_allowed(*primary, account, now);
         return;
     }
     const task_ptr work{new task};
--- a/packages/proxy/src/groups.cpp
+++ b/packages/proxy/src/groups.cpp
@@ -53,7 +53,7 @@
     request_tick(tick_need::soon);
     const directory::directory_change change = m_directory.update(listing, now);
     for (const server_id id : change.added) {
-        add_server(*m_directory.find(id));
+        add_server(*m_directory.find(id), now);
     }
     const auto report = [this](const char* message, const std::vector<server_id>& ids) {
         for (const server_id id : ids) {
@@ -126,7 +126,7 @@
     return same ? dispatch::proximity::same_region : dispatch::proximity::remote;
 }
 
-void proxy::add_server(const directory::server_record& record)
+void proxy::add_server(const directory::server_record& record, time_point now)
 {
     auto added = std::make_unique<backend_server>();
     added->id = record.id;
@@ -135,6 +135,8 @@
     added->distance = proximity_of(record.entry.domain);
     // The limit starts low and is raised over time: after a restart of all daemons, the servers
     // still count the old connections.
+    added->added_at = now;
+    added->pace.set_capacity(record.entry.slots, share_of(record.entry.service).homes, now);
     added->connection_limit = m_options.min_idle_connections;
     group_of(record.entry.service).servers.push_back(added.get());
     m_servers.emplace(record.id, std::move(added));
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -59,6 +59,7 @@
     proxy_gauges gauges;
     gauges.sessions = m_sessions.size();
     gauges.server_connections = m_connections.size();
+    gauges.connections = m_connection_counts;
     for (const auto& [name, group] : m_groups) {
         gauges.waiting_statements += group->queue.size();
     }
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -35,6 +35,7 @@
     if (work->kind == task_kind::statement) {
         connection.counted_as_running = true;
         ++find_server(connection.server)->running;
+        on_connection_taken(connection, *work, now);
         if (work->opens_transaction) {
             connection.transaction_owner = work->session;
             find_session(work->session)->open_transaction->connection = connection.id;
@@ -161,6 +162,7 @@
     --server.opening_connections;
     if (content.ok()) {
         server.connect_backoff = duration{0};
+        on_connection_opened(server, connection, now);
         connection.phase = connection_phase::idle;
         release(connection, now);
         return;
@@ -170,6 +172,7 @@
         server.connection_limit =
             std::max<std::uint32_t>(1, static_cast<std::uint32_t>(server.connections.size()) - 1);
         server.connection_limit_raised_at = now;
+        on_too_many_connections(server, now);
         // Without any connection this daemon's clients can't use the server, so it retries sooner.
         const duration backoff = server.connections.size() > 1 ? too_many_connections_backoff
                                                                : too_many_connections_backoff / 3;
@@ -331,6 +334,7 @@
         connection.counted_as_running = false;
         --server.running;
     }
+    on_connection_returned(connection, now);
     connection.phase = connection_phase::idle;
     connection.idle_since = now;
     connection.work.reset();
--- a/packages/proxy/src/timers.cpp
+++ b/packages/proxy/src/timers.cpp
@@ -74,8 +74,11 @@
         update_promotion(group, now);
     }
     for (backend_server* const server : group.servers) {
-        if (server->connection_limit < share_of(group.service).connections &&
-            now - server->connection_limit_raised_at >= connection_limit_raise_interval) {
+        if (uses_accounts()) {
+            update_connections(*server, now);
+        }
+        else if (server->connection_limit < share_of(group.service).connections &&
+                 now - server->connection_limit_raised_at >= connection_limit_raise_interval) {
             ++server->connection_limit;
             server->connection_limit_raised_at = now;
         }
@@ -136,11 +139,7 @@
         }
         switch (connection->phase) {
         case connection_phase::idle:
-            if (now - connection->idle_since >= m_options.idle_connection_timeout &&
-                find_server(connection->server)->connections.size() >
-                    (is_home_of(find_server(connection->server)->service)
-                         ? m_options.min_idle_connections
-                         : 0)) {
+            if (is_idle_too_long(*connection, now)) {
                 close_connection(id, "it was not needed", now);
             }
             break;
