Count a region without a server as near at the others; let statements wait for a roll-back

Cause: homes whose region's server is gone would share two connections to each remaining replica; a connection that rolls back a watermark request counted as held by a client, so that statements of its account opened another one. Change: shares by the regions that have a server; a connection being rolled back counts as running. Connections to servers without a limit: one for each account instead of four.

--- a/packages/dispatch/src/connection_share.cpp
+++ b/packages/dispatch/src/connection_share.cpp
@@ -37,4 +37,15 @@
                          : far_replica_connections;
 }
 
+std::uint32_t count_homes_near(const std::map<std::string, std::uint32_t>& homes_by_region,
+                               const std::set<std::string>& served_regions,
+                               const std::string& region)
+{
+    std::uint32_t count = 0;
+    for (const auto& [name, homes] : homes_by_region) {
+        count += name == region || !served_regions.contains(name) ? homes : 0;
+    }
+    return count;
+}
+
 } // namespace gypsumstep::dispatch
--- a/packages/dispatch/tests/test_connection_choice.cpp
+++ b/packages/dispatch/tests/test_connection_choice.cpp
@@ -144,6 +144,10 @@
     CHECK(connection_share(near_replica) >= 20);
     CHECK(connection_share(far_replica) == 2);
     CHECK(connection_share(far_primary) >= 7);
+    // Without its region's server, a home gets as much at the others as their own homes.
+    const std::map<std::string, std::uint32_t> homes{{"a", 2}, {"b", 2}, {"c", 2}};
+    CHECK(count_homes_near(homes, {"a", "b", "c"}, "a") == 2);
+    CHECK(count_homes_near(homes, {"a", "b"}, "a") == 4);
     CHECK(2 * connection_share(near_replica) + 4 * connection_share(far_replica) + 2 + 3 <= 56);
 }
 
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -281,6 +281,8 @@
                                      time_point now);
     void on_too_many_connections(backend_server& server, time_point now);
     [[nodiscard]] std::uint32_t connection_share_of(const backend_server& server) const;
+    /// Returns the regions in which a server of the group may run reads.
+    [[nodiscard]] std::set<std::string> served_regions(const database_group& group) const;
     void update_connections(backend_server& server, time_point now);
     [[nodiscard]] bool is_idle_too_long(const server_connection& connection, time_point now);
     [[nodiscard]] duration connection_wait(const database_group& group, const task& work,
--- a/packages/proxy/src/account_connections.cpp
+++ b/packages/proxy/src/account_connections.cpp
@@ -34,12 +34,23 @@
 constexpr double little_use = 0.1;
 constexpr std::size_t closed_part_after_refusal = 4;
 
+/// Connections of a daemon to a server without a limit: about one for each of 84 accounts.
+constexpr std::uint32_t unlimited_share = 84;
+
 /// Divisor of the moving average of the time to open a connection.
 constexpr std::int64_t opening_time_smoothing = 8;
 
 /// One in this many connections opened or closed for an account is logged.
 constexpr std::uint64_t connection_log_interval = 16;
 
+/// Returns true if the connection is free only when a client ends its transaction. One that is
+/// being rolled back is free after a round trip, as after a statement.
+bool is_held_by_client(const detail::server_connection& connection)
+{
+    return connection.transaction_owner ||
+           (connection.in_transaction && connection.phase != connection_phase::rolling_back);
+}
+
 } // namespace
 
 bool proxy::uses_accounts() const
@@ -56,7 +67,7 @@
         const server_connection& connection = *m_connections.at(id);
         dispatch::pooled_connection entry{connection.account, dispatch::connection_use::running,
                                           connection.idle_since};
-        if (connection.in_transaction || connection.transaction_owner) {
+        if (is_held_by_client(connection)) {
             entry.use = dispatch::connection_use::in_transaction;
         }
         else if (connection.phase == connection_phase::opening) {
@@ -113,8 +124,7 @@
     if (is_new) {
         for (const server_connection_id id : server.connections) {
             const server_connection& connection = *m_connections.at(id);
-            if (connection.account != account || connection.in_transaction ||
-                connection.transaction_owner) {
+            if (connection.account != account || is_held_by_client(connection)) {
                 continue;
             }
             found->second.opening += connection.phase == connection_phase::opening ? 1 : 0;
@@ -369,26 +379,43 @@
 std::uint32_t proxy::connection_share_of(const backend_server& server) const
 {
     const group_share share = share_of(server.service);
-    if (!uses_accounts() || share.max_connections == 0 || share.homes == 0) {
+    if (!uses_accounts() || share.homes == 0) {
         return share.connections;
     }
+    if (share.max_connections == 0) {
+        return unlimited_share;
+    }
     const auto& regions = m_options.regions;
     const auto region = regions.find(server.entry.domain);
     const auto here = regions.find(m_options.domain);
     if (region == regions.end() || here == regions.end()) {
         return share.connections;
     }
-    const auto near = share.homes_by_region.find(region->second);
+    const database_group& group = *m_groups.find(server.service)->second;
     dispatch::share_input input;
     input.max_connections = share.max_connections;
     input.homes = share.homes;
-    input.homes_near = near == share.homes_by_region.end() ? 0 : near->second;
-    input.is_near = here->second == region->second;
-    const auto group = m_groups.find(server.service);
-    input.is_primary = group != m_groups.end() && group->second->primary == server.id;
+    input.is_primary = group.primary == server.id;
+    const std::set<std::string> served = served_regions(group);
+    input.homes_near = dispatch::count_homes_near(share.homes_by_region, served, region->second);
+    input.is_near = here->second == region->second || !served.contains(here->second);
     return dispatch::connection_share(input);
 }
 
+std::set<std::string> proxy::served_regions(const database_group& group) const
+{
+    std::set<std::string> served;
+    for (const backend_server* const server : group.servers) {
+        const directory::server_record* const record = m_directory.find(server->id);
+        const auto region = m_options.regions.find(server->entry.domain);
+        if (record != nullptr && region != m_options.regions.end() &&
+            (!record->entry.draining || group.primary == server->id)) {
+            served.insert(region->second);
+        }
+    }
+    return served;
+}
+
 void proxy::update_connections(backend_server& server, time_point now)
 {
     const directory::server_record* const record = m_directory.find(server.id);
@@ -452,12 +479,12 @@
     bool has_room = server.connections.size() < server.connection_limit;
     for (const server_connection_id id : server.connections) {
         const server_connection& connection = *m_connections.at(id);
-        const bool in_transaction = connection.in_transaction || connection.transaction_owner;
-        if (connection.account == work.account && !in_transaction) {
+        const bool is_held = is_held_by_client(connection);
+        if (connection.account == work.account && !is_held) {
             return duration{0};
         }
-        has_room = has_room || !in_transaction;
-        if (in_transaction) {
+        has_room = has_room || !is_held;
+        if (is_held) {
             ++taken;
             total_age += now - connection.taken_at.value_or(now);
         }
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -360,13 +360,15 @@
     input.max_wait = max_queueing_time(work->route);
     if (const auto refusal = dispatch::check_admission(input)) {
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>(refusal->retry_after);
-        log_decision(importance::failure,
-                     "refused a statement: the queue is longer than it can wait", work->request.id,
-                     {{"service", group.service},
-                      {"priority", std::to_string(work->priority)},
-                      {"expected_wait_us", std::to_string(input.expected_wait.count())},
-                      {"patience_us", std::to_string(input.max_wait.count())},
-                      {"waiting", std::to_string(group.queue.size())}});
+        log_decision(
+            importance::failure, "refused a statement: the queue is longer than it can wait",
+            work->request.id,
+            {{"service", group.service},
+             {"priority", std::to_string(work->priority)},
+             {"expected_wait_us", std::to_string(input.expected_wait.count())},
+             {"patience_us", std::to_string(input.max_wait.count())},
+             {"connection_wait_us", std::to_string(connection_wait(group, *work, now).count())},
+             {"waiting", std::to_string(group.queue.size())}});
         refuse(work, error_class::busy,
                "overloaded; retry after " + std::to_string(wait.count()) + " ms", now);
         return;
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -28,6 +28,7 @@
         return;
     }
     work->sent = false;
+    work->awaited_server.reset();
     work->connection = {};
     work->not_before = now + backoff;
     ++work->attempts;
--- a/packages/proxy/tests/simulated_homes.h
+++ b/packages/proxy/tests/simulated_homes.h
@@ -387,7 +387,7 @@
                 deliver(name, id, hop, run_command(found->second.links.at(id), command));
             }
         };
-        // The value of a statement's id before the first blank is its work in microseconds.
+        // The id of a client's statement is its work in microseconds.
         const bool takes_slot =
             next.command.kind == command_kind::forward && next.command.text != "COMMIT";
         const duration work{takes_slot ? std::stol(next.command.id) : 0};
