Share fair queueing and floors in packages/scheduling

Cause: gypsumstep-edge needs the order between accounts and the floors between priorities that only packages/admission had. Change: scheduling::fair_queue (start-time fair queueing, visitable, counts what is ahead) and scheduling::floor_credit hold the decision; admission's rank_queue and ranked_scheduler use them instead of their own code. Ruled out: keeping deficit round robin, since its rotation cannot pass over items that no server can run.

--- a/packages/admission/include/gypsumstep/admission/detail/server_queue_impl.h
+++ b/packages/admission/include/gypsumstep/admission/detail/server_queue_impl.h
@@ -50,11 +50,11 @@
         starts_now ? duration{0} : estimated_wait(offered.level, account_of(offered));
     entry& added = add(offered, now);
     detail::rank_queue& queue = queue_of(added);
-    queue.push(added, quantum(offered.level));
+    queue.push(added);
     if (!starts_now) {
         return queued{wait};
     }
-    start(queue.pop(quantum(offered.level)));
+    start(queue.pop());
     return admitted{};
 }
 
@@ -68,7 +68,7 @@
     const std::uint32_t max_running = limit(now);
     while (running() < max_running) {
         if (!m_transactions.empty()) {
-            entry& chosen = m_transactions.pop(m_settings.initial_service_time);
+            entry& chosen = m_transactions.pop();
             start(chosen);
             started.push_back(chosen.item.id);
             continue;
@@ -77,7 +77,7 @@
         if (!level) {
             break;
         }
-        entry& chosen = m_ranks[index_of(*level)].pop(quantum(*level));
+        entry& chosen = m_ranks[index_of(*level)].pop();
         start(chosen);
         started.push_back(chosen.item.id);
     }
@@ -273,7 +273,7 @@
     backlog waiting;
     for (std::size_t i = 0; i < rank_count; ++i) {
         if (!m_ranks[i].empty()) {
-            waiting[i] = {m_ranks[i].size(), m_ranks[i].head_sequence()};
+            waiting[i] = {m_ranks[i].size(), m_ranks[i].head_arrival_number()};
         }
     }
     return waiting;
@@ -319,12 +319,6 @@
     return std::nullopt;
 }
 
-template <scheduling_policy Policy>
-duration basic_server_queue<Policy>::quantum(rank level) const
-{
-    return m_service[index_of(level)].mean();
-}
-
 template <scheduling_policy Policy>
 detail::rank_queue& basic_server_queue<Policy>::queue_of(const entry& item)
 {
@@ -357,13 +351,13 @@
     entry& added = m_entries[offered.id];
     added.item = offered;
     added.item.client_account = account_of(offered);
-    added.offered = now;
+    added.arrived = now;
     added.latest_start = deadline;
     if (offered.deadline && Policy::refuses_late) {
         added.latest_start -= detail::headroom(m_service[rank_index], deadline - now);
     }
     added.charged = m_service[rank_index].mean();
-    added.sequence = m_next_sequence++;
+    added.arrival_number = m_next_sequence++;
     return added;
 }
 
--- a/packages/admission/include/gypsumstep/admission/ranked_scheduler.h
+++ b/packages/admission/include/gypsumstep/admission/ranked_scheduler.h
@@ -3,16 +3,11 @@
 #pragma once
 
 #include "gypsumstep/admission/scheduling_policy.h"
+#include "gypsumstep/scheduling/floor_credit.h"
 
 namespace gypsumstep::admission {
 
-/// Each rank with a slot floor earns credit in slot time at the rate of its floor, and is charged
-/// for the slot time that it uses. Among the ranks with waiting requests and positive credit, the
-/// one with the most credit is served first; if there is none, the most urgent rank is.
-///
-/// Floors are shares of slot time rather than reserved slots, so that a floor of 10 % also holds
-/// on three slots. A rank keeps credit only while it has waiting requests: other ranks use an
-/// unused floor, and it is not saved up.
+/// Serves the rank that scheduling::select_level selects by the credits of the ranks' floors.
 class ranked_scheduler {
 public:
     static constexpr bool fair_between_accounts = true;
@@ -29,8 +24,7 @@
     [[nodiscard]] std::optional<rank> choose(const backlog& waiting) const;
 
 private:
-    std::array<double, rank_count> m_credit{};     // slot time in microseconds
-    std::array<double, rank_count> m_max_credit{}; // highest credit of each rank, the same unit
+    std::array<scheduling::floor_credit, rank_count> m_credits;
     time_point m_updated{};
 };
 
--- a/packages/admission/include/gypsumstep/admission/server_queue.h
+++ b/packages/admission/include/gypsumstep/admission/server_queue.h
@@ -102,7 +102,6 @@
     [[nodiscard]] bool any_waiting() const;
     [[nodiscard]] std::optional<refused> reason_to_refuse(const request& offered,
                                                           time_point now) const;
-    [[nodiscard]] duration quantum(rank level) const;
     [[nodiscard]] duration wait_behind(rank level, std::size_t ahead) const;
     [[nodiscard]] bool is_full(rank level, client_account_id account) const;
     [[nodiscard]] client_account_id account_of(const request& offered) const;
