Order a group's queue fairly between accounts, with floors

Cause: a home's queue ordered by priority and arrival alone, so a burst of one account delayed the others, and a flood of urgent work stopped the rest. Change: wait_queue orders by the shared fair queueing and floors once it is set to; estimates count what is ahead in this order, and for a statement that needs the primary only such that do too, also when admitted statements are checked again; useful_wait and retry_schedule decide whom to refuse and when they return.

--- a/packages/admission/include/gypsumstep/admission/detail/rank_queue.h
+++ b/packages/admission/include/gypsumstep/admission/detail/rank_queue.h
@@ -20,8 +20,8 @@
 /// A request in the queue, waiting or running.
 struct entry : scheduling::fair_item, start_hook {
     request item;
-    time_point latest_start; ///< a request that starts later is likely to miss its deadline
-    duration charged{0};     ///< estimated service time, charged when the request starts
+    time_point latest_start;         ///< a request that starts later is likely to miss its deadline
+    duration charged{0};             ///< estimated service time, charged when the request starts
     std::uint64_t arrival_number{0}; ///< order of arrival over all ranks
     bool running{false};
 };
--- a/packages/dispatch/include/gypsumstep/dispatch/wait_estimate.h
+++ b/packages/dispatch/include/gypsumstep/dispatch/wait_estimate.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -49,6 +50,37 @@
 /// longer than \c max_wait.
 [[nodiscard]] std::optional<refusal> check_admission(const admission_input& input);
 
+/// What the caller of a statement needs.
+struct caller_needs {
+    duration max_wait{0};          ///< wait after which it can't be answered within its time limit
+    duration target{0};            ///< target for the whole operation; 0 if there is none
+    bool opens_transaction{false}; ///< more statements of the operation follow
+
+    friend bool operator==(const caller_needs&, const caller_needs&) = default;
+};
+
+/// Returns the longest wait after which a statement is worth starting for its callers: one that
+/// lets the operation be answered within its target.
+///
+/// Work that is queued beyond the target does not add a single answer while the queue lasts,
+/// since the slots are busy either way, but it makes everything behind it late. A caller that is
+/// refused at once can go elsewhere or return when there is capacity.
+[[nodiscard]] duration useful_wait(const caller_needs& needs, duration mean_slot_time);
+
+/// Spreads the returns of refused clients, so that they come at a rate that the servers can run
+/// beside new work rather than all at once.
+class retry_schedule {
+public:
+    /// Returns the time after which a refused client should return.
+    /// \param earliest time after which a new attempt is expected to be admitted
+    /// \param start_interval mean time between two starts of statements
+    [[nodiscard]] duration next(std::uint32_t priority, duration earliest, duration start_interval,
+                                time_point now);
+
+private:
+    std::map<std::uint32_t, time_point> m_next; ///< time of the next return, by priority
+};
+
 /// Time after arrival before which a statement is not refused on a new estimate, since it was
 /// admitted on an estimate made at its arrival.
 inline constexpr duration recheck_after = 100ms;
@@ -56,24 +88,21 @@
 /// Returns the waiting statements, in queue order, that are not expected to start before their
 /// deadline any more, because more urgent ones arrived since or servers became slower. The C++
 /// caller refuses them at once, so that their clients can send them elsewhere.
-/// \param expected_wait returns the expected wait of a statement behind \c ahead others:
-///     duration(const queued_statement&, std::size_t ahead)
+/// \param expected_wait returns the expected wait of a statement behind \c ahead others, which
+///     compete with it: duration(const queued_statement&, std::size_t ahead)
 template <class ExpectedWait>
 [[nodiscard]] std::vector<queued_statement*> find_unservable(wait_queue& queue, time_point now,
                                                              ExpectedWait&& expected_wait)
 {
     std::vector<queued_statement*> found;
-    std::size_t ahead = 0;
-    queue.visit([&](queued_statement& item) {
+    queue.visit_expected([&](queued_statement& item, std::size_t ahead) {
         const bool too_long = item.arrived + recheck_after <= now &&
                               now + expected_wait(item, ahead) >= item.start_deadline;
-        if (now >= item.start_deadline || too_long) {
+        const bool unservable = now >= item.start_deadline || too_long;
+        if (unservable) {
             found.push_back(&item);
         }
-        else {
-            ++ahead;
-        }
-        return true;
+        return !unservable;
     });
     return found;
 }
--- a/packages/dispatch/src/wait_estimate.cpp
+++ b/packages/dispatch/src/wait_estimate.cpp
@@ -11,6 +11,26 @@
 /// Shortest useful time before a client retries.
 constexpr duration min_retry_after = 50ms;
 
+/// Number of statements of a usual transaction. Each takes its own time at the server, and all of
+/// them must fit into the target of the operation.
+constexpr int transaction_statements = 4;
+
+/// Share of the target that the expected end may use. Waits spread around their estimate, so that
+/// half of what is expected to end just at the target would be late.
+constexpr double usable_target_share = 0.8;
+
+/// Smallest share of the target that a statement may spend in the queue, also if the estimates
+/// say that the rest is needed for running it: they are means of all kinds of statements.
+constexpr int min_queueing_divisor = 4;
+
+/// Share of the starts that returning clients are to take; the others are for new work. The
+/// reciprocal of the share.
+constexpr int return_interval_factor = 2;
+
+/// Refused clients are asked to return within this time after the earliest useful moment. More
+/// would exceed the time limits of usual routes, which are some seconds.
+constexpr duration max_retry_spread = 2s;
+
 } // namespace
 
 void wait_estimate::on_completed(duration service_time)
@@ -34,4 +54,29 @@
     return refusal{std::max(wait - input.max_wait, min_retry_after)};
 }
 
+duration useful_wait(const caller_needs& needs, duration mean_slot_time)
+{
+    if (needs.target == duration{0}) {
+        return needs.max_wait;
+    }
+    const duration running =
+        mean_slot_time * (needs.opens_transaction ? transaction_statements : 1);
+    const auto usable = std::chrono::duration_cast<duration>(needs.target * usable_target_share);
+    const duration in_time = std::max(usable - running, needs.target / min_queueing_divisor);
+    return std::min(needs.max_wait, in_time);
+}
+
+duration retry_schedule::next(std::uint32_t priority, duration earliest, duration start_interval,
+                              time_point now)
+{
+    const time_point first = now + std::max(earliest, min_retry_after);
+    time_point& next = m_next[priority];
+    if (next < first || next > first + max_retry_spread) {
+        next = first;
+    }
+    const time_point chosen = next;
+    next += start_interval * return_interval_factor;
+    return chosen - now;
+}
+
 } // namespace gypsumstep::dispatch
--- a/packages/dispatch/tests/test_overload.cpp
+++ b/packages/dispatch/tests/test_overload.cpp
@@ -90,7 +90,7 @@
             refuse(*late, now);
         }
         admission_input input;
-        input.expected_wait = expected(*statement, queue.count_ahead(statement->priority, false));
+        input.expected_wait = expected(*statement, queue.count_ahead(*statement));
         input.max_wait = max_wait;
         if (check_admission(input)) {
             refuse(*statement, now);
--- a/packages/dispatch/tests/test_wait_queue.cpp
+++ b/packages/dispatch/tests/test_wait_queue.cpp
@@ -43,7 +43,7 @@
         queue.push(*item);
     }
     CHECK(order_of(queue) == std::vector{&late_urgent, &middle, &early_last});
-    CHECK(queue.count_ahead(1, false) == 2);
+    CHECK(queue.count_ahead(make_item(1, 9ms)) == 2);
     CHECK(queue.size() == 3);
 }
 
@@ -83,6 +83,6 @@
     wait_queue queue;
     queue.push(read);
     queue.push(write);
-    CHECK(queue.count_ahead(2, true) == 1);
-    CHECK(queue.count_ahead(2, false) == 2);
+    CHECK(queue.count_ahead(make_item(2, 9ms, true)) == 1);
+    CHECK(queue.count_ahead(make_item(2, 9ms)) == 2);
 }
--- a/packages/scheduling/include/gypsumstep/scheduling/fair_queue.h
+++ b/packages/scheduling/include/gypsumstep/scheduling/fair_queue.h
@@ -35,10 +35,9 @@
 
 /// The part of an item that the queue orders by. Queued types derive from it. An item that is
 /// queued must not be changed.
-struct fair_item
-    : boost::intrusive::set_base_hook<boost::intrusive::tag<detail::arrival_tag>> {
-    time_point arrived{};     ///< items of one account are served in this order
-    bool restricted{false};   ///< competes only with other restricted items
+struct fair_item : boost::intrusive::set_base_hook<boost::intrusive::tag<detail::arrival_tag>> {
+    time_point arrived{};      ///< items of one account are served in this order
+    bool restricted{false};    ///< competes only with other restricted items
     std::uint64_t sequence{0}; ///< set by the queue: order of items that arrived at the same time
     detail::account_state* account_queue{nullptr}; ///< set by the queue while the item waits
 };
@@ -50,15 +49,33 @@
     type operator()(const fair_item& item) const { return {item.arrived, item.sequence}; }
 };
 
+/// How many items start for each one of an account that waits without a break.
+struct turn_estimate {
+    std::uint64_t last{0}; ///< number of starts when the account last started an item
+    double interval{0.0};  ///< mean number of starts from one of its own to the next; 0 if unknown
+
+    /// Divisor of the moving mean; it follows a change within some ten turns.
+    static constexpr double smoothing = 8.0;
+
+    void on_start(std::uint64_t starts)
+    {
+        const auto sample = static_cast<double>(starts - last);
+        interval += interval == 0.0 ? sample : (sample - interval) / smoothing;
+        last = starts;
+    }
+};
+
 /// The waiting items of one account, and the slot time that it used.
 struct account_state : boost::intrusive::set_base_hook<boost::intrusive::tag<active_tag>> {
     boost::intrusive::set<fair_item,
-                          boost::intrusive::base_hook<boost::intrusive::set_base_hook<
-                              boost::intrusive::tag<arrival_tag>>>,
+                          boost::intrusive::base_hook<
+                              boost::intrusive::set_base_hook<boost::intrusive::tag<arrival_tag>>>,
                           boost::intrusive::key_of_value<by_arrival>>
         waiting;
-    std::size_t restricted{0}; ///< number of waiting items that are restricted
-    duration used{0};          ///< slot time charged, on the scale of the queue's virtual time
+    std::size_t restricted{0};      ///< number of waiting items that are restricted
+    duration used{0};               ///< slot time charged, on the scale of the queue's virtual time
+    turn_estimate turns;            ///< while items wait
+    turn_estimate restricted_turns; ///< while restricted items wait
 
     [[nodiscard]] std::size_t count(bool only_restricted) const
     {
@@ -101,6 +118,14 @@
     /// Removes a waiting item and charges its account an estimate of its cost.
     void start(Item& started, duration estimate);
 
+    /// Reports that an item of another queue started on the same slots, which counts for how often
+    /// the accounts of this queue get a turn.
+    void on_other_start(bool restricted)
+    {
+        ++m_starts;
+        m_restricted_starts += restricted ? 1 : 0;
+    }
+
     /// Charges an account for slot time; negative if an earlier charge was too high. An account is
     /// charged at most \p max_debt beyond the virtual time, which bounds how long it waits for
     /// others after one expensive item.
@@ -128,8 +153,10 @@
     [[nodiscard]] std::size_t known_accounts() const { return m_accounts.size(); }
 
     /// Returns how many items start before a new one of the account, if each costs \p cost. A new
-    /// item that is restricted waits only behind others that are. Takes time in proportion to the
-    /// number of accounts with waiting items.
+    /// item that is restricted waits only behind others that are. An account whose items already
+    /// wait is expected to be served as often as recently, since items of other accounts that
+    /// arrive later also go before it. Takes time in proportion to the number of accounts with
+    /// waiting items.
     [[nodiscard]] std::size_t count_ahead(const Key& account, bool restricted, duration cost) const;
 
     /// Unlinks all waiting items.
@@ -151,6 +178,11 @@
         /// Returns the next item, or nullptr if all were visited.
         [[nodiscard]] Item* next();
 
+        /// Returns how many items are expected to start before the one that next() returned last,
+        /// going by how often its account was served recently. Counts only restricted ones if the
+        /// item is restricted.
+        [[nodiscard]] std::size_t starts_before_last() const { return m_starts_before_last; }
+
     private:
         struct position {
             duration used{0}; ///< use of the account when its next item is visited
@@ -159,6 +191,8 @@
             detail::arrival_order after{}; ///< last visited item
             bool begun{false};             ///< an item was visited
             duration added{0};             ///< sum of the steps
+            std::size_t visited{0};
+            std::size_t visited_restricted{0};
 
             [[nodiscard]] bool operator>(const position& other) const
             {
@@ -173,15 +207,16 @@
         fair_queue& m_queue;
         duration m_step;
         std::vector<position> m_heap; ///< the accounts, the one to visit next first
+        std::size_t m_starts_before_last{0};
     };
 
 private:
     using account_state = detail::account_state;
-    using active_set = boost::intrusive::multiset<
-        account_state,
-        boost::intrusive::base_hook<
-            boost::intrusive::set_base_hook<boost::intrusive::tag<detail::active_tag>>>,
-        boost::intrusive::key_of_value<detail::by_use>>;
+    using active_set =
+        boost::intrusive::multiset<account_state,
+                                   boost::intrusive::base_hook<boost::intrusive::set_base_hook<
+                                       boost::intrusive::tag<detail::active_tag>>>,
+                                   boost::intrusive::key_of_value<detail::by_use>>;
 
     /// Slot time by which an account that was passed over may catch up: some statements, which is
     /// what it misses while its server connection is opened.
@@ -200,6 +235,8 @@
 
     std::map<Key, account_state, std::less<>> m_accounts;
     active_set m_active; ///< accounts with waiting items
+    std::uint64_t m_starts{0};
+    std::uint64_t m_restricted_starts{0};
     duration m_virtual_time{0};
     std::size_t m_size{0};
     std::size_t m_restricted{0};
@@ -216,8 +253,12 @@
     added.account_queue = &state;
     if (state.waiting.empty()) {
         state.used = std::max(state.used, m_virtual_time);
+        state.turns = {m_starts, 0.0};
         m_active.insert(state);
     }
+    if (added.restricted && state.restricted == 0) {
+        state.restricted_turns = {m_restricted_starts, 0.0};
+    }
     state.waiting.insert(added);
     state.restricted += added.restricted ? 1 : 0;
     m_restricted += added.restricted ? 1 : 0;
@@ -243,6 +284,10 @@
     account_state& state = *started.account_queue;
     const duration before = use_of(state);
     m_virtual_time = std::max(m_virtual_time, before);
+    state.turns.on_start(++m_starts);
+    if (started.restricted) {
+        state.restricted_turns.on_start(++m_restricted_starts);
+    }
     remove(started);
     set_use(state, before + estimate);
 }
@@ -297,6 +342,11 @@
         const auto turns = static_cast<std::size_t>((use - use_of(other)) / item_cost) + 1;
         ahead += std::min(turns, other.count(restricted));
     }
+    if (own_waiting > 0) {
+        const double interval = (restricted ? own->restricted_turns : own->turns).interval;
+        ahead =
+            std::max(ahead, static_cast<std::size_t>(static_cast<double>(own_waiting) * interval));
+    }
     return ahead;
 }
 
@@ -376,6 +426,13 @@
         place.after = detail::by_arrival{}(*item);
         place.begun = true;
         place.added += m_step;
+        const auto own =
+            static_cast<double>(item->restricted ? place.visited_restricted : place.visited);
+        const detail::turn_estimate& turns =
+            item->restricted ? place.state->restricted_turns : place.state->turns;
+        m_starts_before_last = static_cast<std::size_t>(own * turns.interval);
+        ++place.visited;
+        place.visited_restricted += item->restricted ? 1 : 0;
         push(place);
         return static_cast<Item*>(item);
     }
--- a/packages/scheduling/tests/test_fair_queue.cpp
+++ b/packages/scheduling/tests/test_fair_queue.cpp
@@ -129,9 +129,7 @@
         for (int i = 0; i < 60; ++i) {
             const char account = static_cast<char>('a' + random.below(random.below(6) + 1));
             filled.add(account);
-            if (random.chance(0.3)) {
-                filled.queue.start(*filled.queue.first(), 10ms);
-            }
+            filled.queue.charge(account, random.between(0ms, 50ms), 1s);
         }
         const char account = static_cast<char>('a' + random.below(7));
         const std::size_t ahead = filled.queue.count_ahead(account, false, 10ms);
@@ -145,6 +143,23 @@
     }
 }
 
+// Guards against an expected wait that forgets the items which arrive later and go first: the
+// waiting account is served once while the others get ten turns.
+TEST_CASE("an account that waits is expected to be served as often as recently")
+{
+    filled_queue filled{std::string(100, 'a')};
+    for (int round = 0; round < 40; ++round) {
+        filled.queue.start(*filled.queue.first(), 100ms);
+        for (int other = 0; other < 9; ++other) {
+            filled.queue.start(filled.add('b'), 11ms);
+        }
+    }
+    const std::size_t own = filled.queue.size_of('a');
+    CHECK(filled.queue.count_ahead('a', false, 10ms) >= 8 * own);
+    CHECK(filled.queue.count_ahead('a', false, 10ms) <= 12 * own);
+    CHECK(filled.queue.count_ahead('c', false, 10ms) <= 1);
+}
+
 // Guards against a visit that goes on from an item which was removed meanwhile: starting one
 // statement may finish or start others.
 TEST_CASE("items may be removed and added during a visit, also the next one")
