--- a/packages/proxy/src/account_connections.cpp
+++ b/packages/proxy/src/account_connections.cpp
@@ -198,12 +198,16 @@
                                       dispatch::demand_table& demands, time_point now)
 {
     const auto start_on = [&](server_id id) {
-        server_connection* const connection = find_idle_connection(*find_server(id), work.get());
+        backend_server& server = *find_server(id);
+        server_connection* const connection = find_idle_connection(server, work.get());
         if (connection == nullptr) {
             return false;
         }
-        group.queue.remove(*work);
+        group.queue.start(*work);
         work->queued = false;
+        if (server.outcomes.is_avoided()) {
+            server.outcomes.on_probe_sent(now);
+        }
         assign(*connection, work, now);
         return true;
     };
--- a/packages/proxy/src/outcomes.cpp
+++ b/packages/proxy/src/outcomes.cpp
@@ -201,7 +201,7 @@
     // Beside a statement that only takes long, this is answered at once and ends the silence.
     if (now - group.newest_watermark_request >=
         dispatch::silence_limit(primary->response_time.recent())) {
-        request_watermark(group, now, now);
+        request_watermark(group, now, usual_account(*primary, now), now);
     }
 }
 
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -62,6 +62,7 @@
     gauges.connections = m_connection_counts;
     for (const auto& [name, group] : m_groups) {
         gauges.waiting_statements += group->queue.size();
+        gauges.waiting_accounts += group->queue.waiting_accounts();
     }
     for (const auto& [id, server] : m_servers) {
         gauges.running_statements += server->running;
--- a/packages/proxy/src/statement_end.cpp
+++ b/packages/proxy/src/statement_end.cpp
@@ -43,7 +43,9 @@
     backend_server& server = *find_server(connection.server);
     const duration run_time = now - work->sent_at;
     server.response_time.on_measured(run_time, now);
-    group_of(server.service).estimate.on_completed(run_time);
+    database_group& group = group_of(server.service);
+    group.estimate.on_completed(run_time);
+    group.queue.finished(*work, run_time);
     if (content.ok()) {
         on_success(connection, work, std::move(content), now);
         return;
