Hold operations of limited accounts at the entry daemon until a token is there

Cause: operations of accounts with a rate ran without a limit.

Change: allowance_gate connects packages/allowance to the clock, the other daemons and the operations that wait. session_forwarder and edge_process hold the statement that starts an operation back; a statement that was sent ahead is held until the earlier ones are answered, since only then it is known whether it starts an operation. Counters and a sampled log line for refusals.

Ruled out: answering a refusal directly from the edge, since an earlier answer of the proxy may not be sent yet; counting forwarded sessions at the home, which would count twice while daemons disagree.

--- a/packages/allowance/include/gypsumstep/allowance/messages.h
+++ b/packages/allowance/include/gypsumstep/allowance/messages.h
@@ -44,7 +44,6 @@
 
 /// A keeper's answer to a request.
 struct token_answer {
-    std::string sender;
     std::uint64_t number{0};
     bool is_keeper{false};             ///< false if the sender holds no slot
     std::vector<account_grant> grants; ///< in the order of the request's needs
--- a/packages/allowance/src/participant.cpp
+++ b/packages/allowance/src/participant.cpp
@@ -47,9 +47,7 @@
 void participant::handle(const token_request& request, time_point now)
 {
     update_part(now);
-    token_answer answer = m_keeper.grant(request, now);
-    answer.sender = m_self.name;
-    m_messages.push_back({request.sender, std::move(answer)});
+    m_messages.push_back({request.sender, m_keeper.grant(request, now)});
 }
 
 void participant::handle(const token_answer& answer, time_point now)
--- a/packages/allowance/src/slot_ownership.cpp
+++ b/packages/allowance/src/slot_ownership.cpp
@@ -65,9 +65,6 @@
             }
         }
     }
-    std::erase_if(m_members, [&](const auto& entry) {
-        return !entry.second.listed && now - entry.second.unlisted_at > former_member_time;
-    });
     update_claim(now);
     if (is_new && m_claimed > 0 && m_claimed_at != now) {
         send_round(now);
@@ -122,6 +119,10 @@
 
 void slot_ownership::update_claim(time_point now)
 {
+    std::erase_if(m_members, [&](const auto& entry) {
+        return !entry.second.listed && !entry.second.was_heard_lately(now) &&
+               now - entry.second.unlisted_at > former_member_time;
+    });
     const std::uint32_t best = m_has_list ? best_slots(now) : 0;
     const bool grew = best > m_claimed;
     m_claimed = best;
--- a/packages/allowance/src/stock.cpp
+++ b/packages/allowance/src/stock.cpp
@@ -33,6 +33,9 @@
 /// A daemon that holds no slot is asked again after this time: the time of a takeover.
 constexpr duration no_keeper_backoff = 200ms;
 
+/// Most accounts in one request, so that its datagram is not fragmented on the way.
+constexpr std::size_t max_needs = 30;
+
 /// Time constant of the recent use of an account.
 constexpr duration use_memory = 1s;
 
@@ -214,14 +217,15 @@
         next = std::min(next, available_at(account, keeper.name));
         one_answered = one_answered || (empty != account.empty_until.end() && empty->second > now);
     }
-    // After a restart of all daemons no keeper answers yet; they do before an operation's deadline.
+    // Before the first list of daemons no keeper is known, and after a restart of all daemons none
+    // answers yet; both end before an operation's deadline.
     const duration patience = one_answered ? max_wait_for_refill : max_wait;
     const duration retry_after =
         next == time_point::max() ? max_silent_backoff : std::max(next - now, max_wait_for_refill);
     while (!account.queue.empty()) {
         const time_point deadline = account.queue.front().deadline;
         // While a request is open, its answer may still bring a token.
-        const bool hopeless = account.asked == 0 && account.collecting == 0 &&
+        const bool hopeless = !m_keepers.empty() && account.asked == 0 && account.collecting == 0 &&
                               next > std::min(deadline, now + patience) &&
                               parts_to_collect(account, now).empty();
         if (!hopeless && now < deadline) {
@@ -315,10 +319,15 @@
     }
     std::vector<outgoing_request> requests;
     requests.reserve(due.size());
-    for (auto& [keeper, needs] : due) {
-        const std::uint64_t number = m_next_number++;
-        requests.push_back({keeper, {m_self, number, needs}});
-        m_requests.emplace(number, open_request{keeper, std::move(needs), now});
+    for (const auto& [keeper, needs] : due) {
+        for (std::size_t first = 0; first < needs.size(); first += max_needs) {
+            const auto begin = needs.begin() + static_cast<std::ptrdiff_t>(first);
+            const auto count = std::min(max_needs, needs.size() - first);
+            const std::vector<account_need> some{begin, begin + static_cast<std::ptrdiff_t>(count)};
+            const std::uint64_t number = m_next_number++;
+            requests.push_back({keeper, {m_self, number, some}});
+            m_requests.emplace(number, open_request{keeper, some, now});
+        }
     }
     return requests;
 }
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -72,10 +72,20 @@
                            line_logger& log_output)
     : m_settings{std::move(settings)}, m_settings_file{std::move(settings_file)},
       m_log_output{log_output}, m_metrics{m_registry}, m_proxy{proxy_options(m_settings)},
-      m_peer_link{[this](const promotion::peer_message& message) {
-          m_proxy.on_peer_message(message, boot_now());
-          run_actions();
+      m_peer_link{{
+          [this](const promotion::peer_message& message) {
+              m_proxy.on_peer_message(message, boot_now());
+              run_actions();
+          },
+          [this](const allowance::message& message) {
+              m_allowance_gate.on_message(message);
+              run_actions();
+          },
       }},
+      m_allowance_gate{m_settings, seed_of(m_settings), m_registry,
+                       [this](const std::string& daemon, const allowance::message& message) {
+                           m_peer_link.send(daemon, message);
+                       }},
       m_roster{m_settings,
                m_clock,
                seed_of(m_settings),
@@ -91,7 +101,8 @@
                   [this](const adapter::start_message& start) {
                       const directory::route* const route = m_proxy.routes().find(start.database);
                       return route == nullptr || m_proxy.authorize(*route, start.key).granted;
-                  }},
+                  },
+                  limits_of_forwarded_sessions()},
       m_server_connections{
           m_settings.name,
           {
@@ -114,6 +125,7 @@
                    {
                        [this](directory::configuration configuration) {
                            m_proxy.on_configuration(std::move(configuration), boot_now());
+                           update_accounts();
                            retry_forwarded_starts();
                            update_served_groups();
                        },
@@ -151,6 +163,11 @@
     events.started = [this](session_id id, const adapter::start_message& message) {
         on_client_started(id, message);
     };
+    // Operations are counted where their client is connected, so not for forwarded sessions.
+    events.statement_received = [this](session_id id, statement::statement request) {
+        on_own_statement(id, std::move(request));
+        run_actions();
+    };
     return events;
 }
 
@@ -263,6 +280,7 @@
 void edge_process::run(proxy::send_answer& action)
 {
     listener_of(action.session).send_answer(action.session, action.content);
+    release_held(action.session);
 }
 
 void edge_process::run(proxy::send_start_answer& action)
@@ -274,6 +292,12 @@
 {
     m_pending_forwarded_starts.erase(action.session);
     m_pending_client_starts.erase(action.session);
+    if (drop_held(action.session)) {
+        statement::answer not_run;
+        not_run.error = statement::error_class::busy;
+        not_run.error_text = "the statement was not sent to a server; reconnect";
+        listener_of(action.session).send_answer(action.session, not_run);
+    }
     listener_of(action.session).close(action.session);
 }
 
@@ -388,6 +412,7 @@
 adapter::http_response edge_process::metrics_response()
 {
     m_metrics.set(m_proxy.gauges());
+    m_allowance_gate.update_gauges();
     return {status_ok, m_registry.expose(boot_now())};
 }
 
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -2,6 +2,7 @@
 /// The process of the daemon on the users' platform.
 #pragma once
 
+#include "allowance_gate.h"
 #include "client_listener.h"
 #include "daemon_roster.h"
 #include "edge_metrics.h"
@@ -22,6 +23,7 @@
 #include <QObject>
 #include <QTimer>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,6 +50,12 @@
         time_point deadline{};
     };
 
+    /// Statements of a session of this daemon's own that the proxy does not have yet.
+    struct held_statements {
+        std::deque<statement::statement> queue;
+        bool awaits_token{false}; ///< for the first one
+    };
+
     void run_actions();
     void run(proxy::send_answer& action);
     void run(proxy::send_start_answer& action);
@@ -65,6 +73,15 @@
     client_events client_listener_events();
     client_events forwarding_listener_events();
     client_listener& listener_of(session_id id);
+    operation_limits limits_of_forwarded_sessions();
+    /// Passes a statement of this daemon's own client to the proxy, once a token permits it.
+    void on_own_statement(session_id id, statement::statement request);
+    /// Passes held statements on as far as the session's state and its account's limit permit.
+    void release_held(session_id id);
+    void on_token_decided(session_id id, const std::optional<std::string>& refusal);
+    /// Drops the held statements of a session that ends; true if there were any.
+    bool drop_held(session_id id);
+    void update_accounts();
     void on_client_started(session_id id, const adapter::start_message& message);
     void start_session(session_id id, const adapter::start_message& message);
     /// Starts the clients' sessions that waited for the list of daemons.
@@ -99,6 +116,7 @@
     proxy::proxy m_proxy;
     store_clock m_clock;
     peer_link m_peer_link;
+    allowance_gate m_allowance_gate;
     daemon_roster m_roster;
     client_listener m_client_listener;
     client_listener m_forwarding_listener; ///< accepts sessions that other daemons forward
@@ -120,6 +138,7 @@
     std::map<session_id, pending_start> m_pending_forwarded_starts;
     /// Clients' sessions that wait for the list of daemons.
     std::map<session_id, pending_start> m_pending_client_starts;
+    std::map<session_id, held_statements> m_held;
     /// Groups that this daemon is a home of, and its share of each group's servers.
     std::map<std::string, proxy::group_share, std::less<>> m_served_groups;
 };
--- a/packages/edge/src/edge_sessions.cpp
+++ b/packages/edge/src/edge_sessions.cpp
@@ -151,6 +151,7 @@
 void edge_process::on_daemons_changed()
 {
     m_peer_link.set_daemons(m_roster.homes().daemons());
+    m_allowance_gate.set_daemons(m_roster.homes().daemons());
     update_served_groups();
 }
 
@@ -202,6 +203,7 @@
 {
     m_pending_forwarded_starts.erase(id);
     m_pending_client_starts.erase(id);
+    drop_held(id);
     if (m_forwarder.is_forwarded(id)) {
         m_forwarder.on_client_closed(id);
         return;
--- a/packages/edge/src/peer_link.cpp
+++ b/packages/edge/src/peer_link.cpp
@@ -2,10 +2,9 @@
 
 #include "gypsumstep/logging/logging.h"
 
+#include "allowance_codec.h"
 #include "peer_codec.h"
 
-#include <QNetworkDatagram>
-
 namespace gypsumstep::edge {
 namespace {
 
@@ -20,8 +19,7 @@
 
 } // namespace
 
-peer_link::peer_link(std::function<void(const promotion::peer_message&)> on_message)
-    : m_on_message{std::move(on_message)}
+peer_link::peer_link(peer_events events) : m_events{std::move(events)}
 {
     connect(&m_socket, &QUdpSocket::readyRead, this, [this] { receive(); });
 }
@@ -41,6 +39,16 @@
 }
 
 void peer_link::send(const std::string& daemon, const promotion::peer_message& message)
+{
+    send_bytes(daemon, encode_peer_message(message));
+}
+
+void peer_link::send(const std::string& daemon, const allowance::message& message)
+{
+    send_bytes(daemon, encode_allowance_message(message));
+}
+
+void peer_link::send_bytes(const std::string& daemon, const QByteArray& bytes)
 {
     const auto listed = m_listed.find(daemon);
     const auto sender = m_senders.find(daemon);
@@ -48,7 +56,6 @@
         return;
     }
     const auto& [host, port] = listed == m_listed.end() ? sender->second : listed->second;
-    const QByteArray bytes = encode_peer_message(message);
     if (bytes.size() > max_peer_message_bytes || m_socket.writeDatagram(bytes, host, port) < 0) {
         log().warn("could not send a message to a daemon",
                    {{"daemon", daemon},
@@ -57,24 +64,43 @@
     }
 }
 
+void peer_link::remember_sender(const std::string& sender, const QNetworkDatagram& datagram)
+{
+    if (m_senders.size() >= max_unlisted_senders && !m_senders.contains(sender)) {
+        m_senders.clear();
+    }
+    m_senders.insert_or_assign(sender, address{datagram.senderAddress(),
+                                               static_cast<std::uint16_t>(datagram.senderPort())});
+}
+
 void peer_link::receive()
 {
+    const auto ignore = [](const QNetworkDatagram& datagram) {
+        log().warn("ignored a malformed datagram",
+                   {{"sender", datagram.senderAddress().toString().toStdString()}});
+    };
     while (m_socket.hasPendingDatagrams()) {
         const QNetworkDatagram datagram = m_socket.receiveDatagram(max_peer_message_bytes);
-        const auto message = decode_peer_message(datagram.data());
-        if (message.has_error()) {
-            log().warn("ignored a malformed datagram",
-                       {{"sender", datagram.senderAddress().toString().toStdString()}});
+        const QByteArray bytes = datagram.data();
+        if (is_allowance_message(bytes)) {
+            const auto message = decode_allowance_message(bytes);
+            if (message.has_error()) {
+                ignore(datagram);
+                continue;
+            }
+            if (const std::string* const sender = sender_of(message.value())) {
+                remember_sender(*sender, datagram);
+            }
+            m_events.allowance(message.value());
             continue;
         }
-        const std::string& sender = message.value().sender;
-        if (m_senders.size() >= max_unlisted_senders && !m_senders.contains(sender)) {
-            m_senders.clear();
+        const auto message = decode_peer_message(bytes);
+        if (message.has_error()) {
+            ignore(datagram);
+            continue;
         }
-        m_senders.insert_or_assign(
-            sender,
-            address{datagram.senderAddress(), static_cast<std::uint16_t>(datagram.senderPort())});
-        m_on_message(message.value());
+        remember_sender(message.value().sender, datagram);
+        m_events.claims(message.value());
     }
 }
 
--- a/packages/edge/src/session_forwarder.cpp
+++ b/packages/edge/src/session_forwarder.cpp
@@ -36,9 +36,9 @@
 
 session_forwarder::session_forwarder(
     client_listener& clients, homes::home_table& homes, std::uint64_t seed,
-    std::function<bool(const adapter::start_message&)> is_authorized)
+    std::function<bool(const adapter::start_message&)> is_authorized, operation_limits limits)
     : m_clients{clients}, m_homes{homes}, m_random{seed}, m_is_authorized{std::move(is_authorized)},
-      m_next_turn{m_random.below(UINT32_MAX)}
+      m_limits{std::move(limits)}, m_next_turn{m_random.below(UINT32_MAX)}
 {
 }
 
@@ -100,7 +100,7 @@
         return;
     }
     session_entry& session = *found->second;
-    const auto message = adapter::decode_client_line(line, adapter::line_sender::client);
+    auto message = adapter::decode_client_line(line, adapter::line_sender::client);
     if (message.has_error() || std::holds_alternative<adapter::start_message>(message.value()) ||
         !session.started) {
         log().warn("closed a client's connection",
@@ -112,7 +112,76 @@
         end_session(id);
         return;
     }
-    const auto& request = std::get<adapter::statement_message>(message.value()).request;
+    held_statement received{
+        line, std::move(std::get<adapter::statement_message>(message.value()).request)};
+    const bool limited =
+        m_limits.limited_account && m_limits.limited_account(session.request.start).has_value();
+    if (!limited && session.held.empty()) {
+        pass_statement(id, received);
+        return;
+    }
+    // Whether a statement starts an operation is known once all earlier ones are answered.
+    if (session.held.size() >= max_held_statements) {
+        log().warn("closed a client's connection",
+                   {{"session", id.value()}, {"cause", "it sent too far ahead"}});
+        end_session(id);
+        return;
+    }
+    session.held.push_back(std::move(received));
+    release_held(id);
+}
+
+void session_forwarder::release_held(session_id id)
+{
+    for (auto found = m_sessions.find(id);
+         found != m_sessions.end() && !found->second->held.empty() &&
+         !found->second->awaits_token && !found->second->tracker.is_waiting();
+         found = m_sessions.find(id)) {
+        session_entry& session = *found->second;
+        const auto account = session.tracker.is_idle() &&
+                                     statement::starts_operation(session.held.front().request.kind)
+                                 ? m_limits.limited_account(session.request.start)
+                                 : std::nullopt;
+        if (account) {
+            session.awaits_token = true;
+            m_limits.start(*account, id, [this, id](const std::optional<std::string>& refusal) {
+                on_token_decided(id, refusal);
+            });
+            return;
+        }
+        const held_statement next = std::move(session.held.front());
+        session.held.pop_front();
+        pass_statement(id, next);
+    }
+}
+
+void session_forwarder::on_token_decided(session_id id, const std::optional<std::string>& refusal)
+{
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end() || !found->second->awaits_token) {
+        return;
+    }
+    session_entry& session = *found->second;
+    session.awaits_token = false;
+    const held_statement next = std::move(session.held.front());
+    session.held.pop_front();
+    if (refusal) {
+        statement::answer answer;
+        answer.error = statement::error_class::busy;
+        answer.error_text = *refusal;
+        session.last_used = boot_now();
+        m_clients.send_answer(id, answer);
+    }
+    else {
+        pass_statement(id, next);
+    }
+    release_held(id);
+}
+
+void session_forwarder::pass_statement(session_id id, const held_statement& passed)
+{
+    session_entry& session = *m_sessions.at(id);
+    const statement::statement& request = passed.request;
     session.last_used = boot_now();
     if (m_shutdown && session.tracker.is_idle() &&
         m_shutdown->refuses(request.kind, session.last_used)) {
@@ -131,7 +200,7 @@
         return;
     }
     session.tracker.on_statement(request, session.last_used);
-    const std::string bytes = line + "\r\n";
+    const std::string bytes = passed.line + "\r\n";
     session.socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
     session.socket->flush();
 }
@@ -162,6 +231,7 @@
     }
     found->second->last_used = boot_now();
     m_clients.write(id, client_lines);
+    release_held(id);
     // A client sends its next statement after an answer, so that none is on its way now.
     found = m_sessions.find(id);
     if (was_waiting && found != m_sessions.end() && may_close(*found->second, boot_now())) {
@@ -218,6 +288,12 @@
     if (const auto answer = m_sessions.at(id)->tracker.answer_for_lost_home()) {
         m_clients.send_answer(id, *answer);
     }
+    else if (!m_sessions.at(id)->held.empty()) {
+        statement::answer not_run;
+        not_run.error = statement::error_class::busy;
+        not_run.error_text = "the statement was not sent to a server; reconnect";
+        m_clients.send_answer(id, not_run);
+    }
     end_session(id);
 }
 
@@ -232,7 +308,7 @@
 
 bool session_forwarder::may_close(const session_entry& session, time_point now) const
 {
-    if (!m_shutdown || !session.started || session.tracker.is_waiting()) {
+    if (!m_shutdown || !session.started || session.tracker.is_waiting() || !session.held.empty()) {
         return false;
     }
     return session.tracker.is_idle() ? now >= session.close_time
@@ -245,6 +321,9 @@
     if (found == m_sessions.end()) {
         return;
     }
+    if (found->second->awaits_token) {
+        m_limits.cancel(id);
+    }
     close_home_socket(*found->second);
     m_sessions.erase(found);
 }
--- a/packages/edge/src/session_forwarder.h
+++ b/packages/edge/src/session_forwarder.h
@@ -12,6 +12,7 @@
 #include <QTcpSocket>
 #include <QTimer>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,13 +22,30 @@
 
 namespace gypsumstep::edge {
 
+/// How the operations of forwarded sessions are limited. Without functions they are not.
+struct operation_limits {
+    /// Returns the account whose operations need a token; nothing if they need none.
+    std::function<std::optional<std::string>(const adapter::start_message&)> limited_account;
+    /// Starts an operation of a session and reports now or later whether it may run: nothing, or
+    /// the text of the refusal.
+    std::function<void(const std::string& account, session_id,
+                       std::function<void(const std::optional<std::string>&)>)>
+        start;
+    /// The session does not wait any more.
+    std::function<void(session_id)> cancel;
+};
+
+/// Most statements of a session that wait for the end of an earlier one or for a token.
+inline constexpr std::size_t max_held_statements = 16;
+
 /// Passes lines between clients and homes, one connection to a home for each session.
 class session_forwarder : public QObject {
 public:
     /// \param is_authorized whether the client that sent this start may use its database under the
     ///     configuration in force
     session_forwarder(client_listener& clients, homes::home_table& homes, std::uint64_t seed,
-                      std::function<bool(const adapter::start_message&)> is_authorized);
+                      std::function<bool(const adapter::start_message&)> is_authorized,
+                      operation_limits limits = {});
 
     /// The database that a session asks for, its group, and how long a statement may take.
     struct session_request {
@@ -60,6 +78,12 @@
     [[nodiscard]] std::size_t session_count() const { return m_sessions.size(); }
 
 private:
+    /// A statement that is not sent to the home yet.
+    struct held_statement {
+        std::string line;
+        statement::statement request;
+    };
+
     struct session_entry {
         session_request request;
         std::vector<homes::daemon_entry> home_order;
@@ -72,10 +96,17 @@
         time_point start_deadline{}; ///< for the current home to accept the session
         time_point last_used{};      ///< when its client or its home last sent something
         time_point close_time{};     ///< during a shutdown: closed from then on, once it may be
+        std::deque<held_statement> held;
+        bool awaits_token{false}; ///< for the first held statement
     };
 
     void try_next_home(session_id id);
     void on_client_line(session_id id, const std::string& line);
+    /// Sends a statement to the home, or refuses it.
+    void pass_statement(session_id id, const held_statement& passed);
+    /// Passes held statements on as far as the session's state and its account's limit permit.
+    void release_held(session_id id);
+    void on_token_decided(session_id id, const std::optional<std::string>& refusal);
     void read_from_home(session_id id);
     /// Handles a line from the home; true if the home refused the session and was given up.
     bool on_home_line(session_id id, session_entry& session, const std::string& line);
@@ -90,6 +121,7 @@
     homes::home_table& m_homes;
     random_source m_random;
     std::function<bool(const adapter::start_message&)> m_is_authorized;
+    operation_limits m_limits;
     std::map<session_id, std::unique_ptr<session_entry>> m_sessions;
     std::uint64_t m_next_turn; ///< spreads sessions over homes that are equally near
     std::optional<proxy::shutdown_schedule> m_shutdown;
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -67,6 +67,8 @@
     void on_client_start(session_id id, const std::string& database,
                          const std::optional<accounts::key_digest>& key, time_point now);
     void on_client_statement(session_id id, statement::statement request, time_point now);
+    /// Answers a statement that on_client_statement() does not get, as busy.
+    void refuse_operation(session_id id, const std::string& text, time_point now);
     void on_client_closed(session_id id, time_point now);
 
     // Events from backend servers.
@@ -139,6 +141,14 @@
     [[nodiscard]] directory::authorization
     authorize(const directory::route& used, const std::optional<accounts::key_digest>& key) const;
 
+    /// Returns true if a statement of the session runs or waits for a server.
+    [[nodiscard]] bool is_running_statement(session_id id) const;
+
+    /// Returns the account of the operation that a statement starts if it is the session's next
+    /// one; nothing if it starts none, or if on_client_statement() refuses it.
+    [[nodiscard]] std::optional<std::string> account_of_operation(session_id id,
+                                                                  statement::verb kind) const;
+
 private:
     using task = detail::task;
     using task_ptr = detail::task_ptr;
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -92,6 +92,37 @@
     return directory::authorize(m_routes.current(), used, key, m_options.accounts_required);
 }
 
+void proxy::refuse_operation(session_id id, const std::string& text, time_point now)
+{
+    if (client_session* const session = find_session(id)) {
+        session->idle_since = now;
+        answer_error(*session, error_class::busy, text);
+        on_session_answered(id, now);
+    }
+}
+
+bool proxy::is_running_statement(session_id id) const
+{
+    const auto found = m_sessions.find(id);
+    return found != m_sessions.end() && found->second->running;
+}
+
+std::optional<std::string> proxy::account_of_operation(session_id id, verb kind) const
+{
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end() || found->second->open_transaction ||
+        !statement::starts_operation(kind)) {
+        return std::nullopt;
+    }
+    const client_session& session = *found->second;
+    const directory::route* const route = m_routes.find(session.database);
+    if (route == nullptr) {
+        return std::nullopt;
+    }
+    directory::authorization checked = authorize(*route, session.key);
+    return checked.granted ? std::optional{std::move(checked.account)} : std::nullopt;
+}
+
 std::optional<std::string> proxy::account_for(client_session& session, const directory::route& used,
                                               const std::string& request)
 {
--- a/packages/statement/include/gypsumstep/statement/statement.h
+++ b/packages/statement/include/gypsumstep/statement/statement.h
@@ -56,4 +56,20 @@
 /// Returns the name that logs use.
 [[nodiscard]] const char* to_string(verb kind);
 
+/// Returns true if a statement outside a transaction starts an operation that reaches a server:
+/// the start of a transaction, or a single statement that a server runs.
+[[nodiscard]] constexpr bool starts_operation(verb kind)
+{
+    switch (kind) {
+    case verb::begin:
+    case verb::begin_read_only:
+    case verb::read:
+    case verb::write:
+    case verb::execute:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace gypsumstep::statement
