--- a/packages/allowance/include/gypsumstep/allowance/slot_ownership.h
+++ b/packages/allowance/include/gypsumstep/allowance/slot_ownership.h
@@ -17,7 +17,9 @@
 /// differ for a while, mostly after starts; without this, two daemons would grant the same part.
 ///
 /// The ranks of two daemons do not depend on the list. So a daemon that hears of a higher one
-/// gives its slots up, and one that wants a slot first tells all others that it runs.
+/// gives its slots up, and one that wants a slot first tells all others that it runs. It wants one
+/// only while it is listed itself: of two daemons that read their own announcements in the list,
+/// the one that was announced later also read the other's.
 class slot_ownership {
 public:
     /// \param self this daemon
@@ -65,7 +67,7 @@
     std::uint32_t m_claimed{0}; ///< slots that this daemon ranks first for
     time_point m_claimed_at{};
     bool m_established{false}; ///< nobody's first answer to the claim is awaited any more
-    bool m_has_list{false};
+    bool m_is_listed{false};
     time_point m_next_round{time_point::max()};
     std::vector<std::string> m_recipients;
 };
--- a/packages/allowance/include/gypsumstep/allowance/terms.h
+++ b/packages/allowance/include/gypsumstep/allowance/terms.h
@@ -36,7 +36,7 @@
 
     /// Time after its request at which a token expires. A token that was granted before a window
     /// and is used in it counts in that window, so this uses up a part of the overage.
-    [[nodiscard]] duration token_lifetime() const { return share_of_overage(0.6); }
+    [[nodiscard]] duration token_lifetime() const { return share_of_overage(0.4); }
 
     /// Time whose refill a keeper grants in advance after a start.
     [[nodiscard]] duration start_advance() const { return share_of_overage(0.2); }
--- a/packages/allowance/src/slot_ownership.cpp
+++ b/packages/allowance/src/slot_ownership.cpp
@@ -46,7 +46,7 @@
 
 void slot_ownership::set_daemons(const std::vector<homes::daemon_entry>& daemons, time_point now)
 {
-    m_has_list = true;
+    m_is_listed = false;
     bool is_new = false;
     for (auto& [name, other] : m_members) {
         if (other.listed) {
@@ -55,6 +55,7 @@
         }
     }
     for (const homes::daemon_entry& daemon : daemons) {
+        m_is_listed = m_is_listed || daemon.name == m_self.name;
         if (daemon.domain == m_self.domain && daemon.name != m_self.name) {
             const auto [entry, added] = m_members.try_emplace(daemon.name);
             entry->second.listed = true;
@@ -123,7 +124,7 @@
         return !entry.second.listed && !entry.second.was_heard_lately(now) &&
                now - entry.second.unlisted_at > former_member_time;
     });
-    const std::uint32_t best = m_has_list ? best_slots(now) : 0;
+    const std::uint32_t best = m_is_listed ? best_slots(now) : 0;
     const bool grew = best > m_claimed;
     m_claimed = best;
     if (best == 0) {
--- a/packages/allowance/tests/test_slot_ownership.cpp
+++ b/packages/allowance/tests/test_slot_ownership.cpp
@@ -21,6 +21,9 @@
 {
     slot_ownership one{low, 1};
     CHECK(one.held_slots(start) == 0);
+    // Guards against daemons that start together, know nobody yet, and would all hold the slot.
+    one.set_daemons({}, start - 1s);
+    CHECK(one.held_slots(start) == 0);
     one.set_daemons({low, {"lower", "a", "", 0, 0}}, start);
     REQUIRE(slot_rank("low", 1, 0) > 0);
     const bool is_best = slot_rank("low", 1, 0) > slot_rank("lower", 0, 0);
--- a/packages/edge/src/allowance_gate.cpp
+++ b/packages/edge/src/allowance_gate.cpp
@@ -83,10 +83,13 @@
 
 void allowance_gate::set_daemons(std::vector<homes::daemon_entry> daemons)
 {
-    // Until its announcement is listed, this daemon stands in the list without its capacity.
-    std::erase_if(daemons,
-                  [this](const homes::daemon_entry& entry) { return entry.name == m_self.name; });
-    daemons.push_back(m_self);
+    // Until its announcement is listed, this daemon stands in the list without its address.
+    m_listed = std::find(daemons.begin(), daemons.end(), m_self) != daemons.end();
+    if (!m_listed) {
+        std::erase_if(daemons, [this](const homes::daemon_entry& entry) {
+            return entry.name == m_self.name;
+        });
+    }
     m_participant.set_daemons(daemons, boot_now());
     flush();
 }
--- a/packages/edge/src/allowance_gate.h
+++ b/packages/edge/src/allowance_gate.h
@@ -40,6 +40,9 @@
     /// Replaces the listed daemons.
     void set_daemons(std::vector<homes::daemon_entry> daemons);
 
+    /// True if this daemon's own announcement was listed. Before, it can be no keeper.
+    [[nodiscard]] bool is_listed() const { return m_listed; }
+
     void on_message(const allowance::message& content);
 
     /// True if an account has a rate.
@@ -71,6 +74,7 @@
     allowance::participant m_participant;
     sender m_send;
     bool m_active{false};
+    bool m_listed{false};
     std::map<std::uint64_t, decided> m_waiting; ///< by session
     QTimer m_timer;
     time_point m_next_refusal_log{};
--- a/packages/edge/src/daemon_roster.cpp
+++ b/packages/edge/src/daemon_roster.cpp
@@ -107,7 +107,9 @@
                       adapter::outcome_of(response.value()) == promotion::call_outcome::done;
     if (done) {
         m_announced_at = time;
-        m_announced_here = true;
+        if (!std::exchange(m_announced_here, true)) {
+            m_events.announced();
+        }
         return;
     }
     log().warn(
--- a/packages/edge/src/daemon_roster.h
+++ b/packages/edge/src/daemon_roster.h
@@ -27,6 +27,8 @@
     std::function<std::vector<homes::daemon_entry>()> companions;
     /// Whether another daemon announces this one together with itself.
     std::function<bool()> is_announced_by_another;
+    /// Called when this daemon was announced for the first time in this life of the process.
+    std::function<void()> announced;
 };
 
 /// Keeps the table of homes up to date with the daemons' announcements in the store, and this
@@ -45,6 +47,9 @@
     /// True after the list of daemons was read for the first time.
     [[nodiscard]] bool is_loaded() const { return m_loaded; }
 
+    /// True after this life of the process announced this daemon.
+    [[nodiscard]] bool is_announced() const { return m_announced_here; }
+
 private:
     void check_announcement();
     void announce();
--- a/packages/edge/src/edge_allowances.cpp
+++ b/packages/edge/src/edge_allowances.cpp
@@ -43,7 +43,11 @@
 
 void edge_process::update_accounts()
 {
+    const bool was_active = m_allowance_gate.is_active();
     m_allowance_gate.set_accounts(m_proxy.routes().current().accounts);
+    if (!was_active) {
+        read_own_announcement();
+    }
     // Without accounts that have a rate, daemons that exchange no claims need no port.
     if (m_allowance_gate.is_active() && !m_peer_link.is_listening() &&
         !m_peer_link.listen(m_settings.clients.host, m_settings.forwarding_port)) {
@@ -52,6 +56,14 @@
     }
 }
 
+void edge_process::read_own_announcement()
+{
+    // The next reading is up to 3 s away, and without keepers all limited accounts are refused.
+    if (m_allowance_gate.is_active() && m_roster.is_announced() && !m_allowance_gate.is_listed()) {
+        m_store_view.read_daemons_now();
+    }
+}
+
 void edge_process::on_own_statement(session_id id, statement::statement request)
 {
     if (!m_allowance_gate.is_active() && !m_held.contains(id)) {
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -93,6 +93,7 @@
                    [this] { on_daemons_changed(); },
                    [this] { return m_store_view.subscribers(); },
                    [this] { return !m_store_view.reads_store(); },
+                   [this] { read_own_announcement(); },
                }},
       m_client_listener{client_listener_events(), session_id{1}, adapter::line_sender::client},
       m_forwarding_listener{forwarding_listener_events(), first_forwarded_session,
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -82,6 +82,9 @@
     /// Drops the held statements of a session that ends; true if there were any.
     bool drop_held(session_id id);
     void update_accounts();
+    /// Reads the list of daemons if this daemon was announced, is not listed, and might be a
+    /// keeper.
+    void read_own_announcement();
     void on_client_started(session_id id, const adapter::start_message& message);
     void start_session(session_id id, const adapter::start_message& message);
     /// Starts the clients' sessions that waited for the list of daemons.
--- a/packages/edge/src/store_view.h
+++ b/packages/edge/src/store_view.h
@@ -56,6 +56,9 @@
     /// Has the registrations read soon.
     void refresh_servers();
 
+    /// Reads the daemons' announcements from the store at once.
+    void read_daemons_now() { m_reader.read_now(store_subject::daemons); }
+
     /// Reads the configuration from the store at once, at most twice a second.
     void reload();
 
