Allowances: refuse operations of a removed account; test the loss of keepers

Cause: operations that waited when their account was removed were let go on without a token, and their key may belong to another account by then.

Change: they are refused with a time to return. A test stops the keepers of two domains, with usual demand and in a flood.

Tests: test_allowance, 18 cases pass.

--- a/packages/allowance/src/stock.cpp
+++ b/packages/allowance/src/stock.cpp
@@ -60,11 +60,10 @@
     for (auto entry = m_accounts.begin(); entry != m_accounts.end();) {
         const auto found = limits.find(entry->first);
         if (found == limits.end() || found->second.rate_per_second <= 0) {
-            // Waiting operations go on: their account was removed, or has no limit any more, and
-            // whoever starts them checks the account again.
+            // The key may belong to another account now, whose limit these operations would pass.
             for (const waiting_operation& operation : entry->second.queue) {
                 m_operations.erase(operation.id);
-                m_decisions.push_back({operation.id, entry->first, true, {}});
+                m_decisions.push_back({operation.id, entry->first, false, max_wait_for_refill});
             }
             m_active.erase(entry->first);
             entry = m_accounts.erase(entry);
--- a/packages/allowance/tests/test_allowance_fleet.cpp
+++ b/packages/allowance/tests/test_allowance_fleet.cpp
@@ -127,6 +127,52 @@
     }
 }
 
+// Guards against the loss of keepers that refuses or delays usual demand, or is made good twice.
+TEST_CASE("keepers lost in two domains of different regions")
+{
+    for (const double factor : {1.0, 8.0}) {
+        CAPTURE(factor);
+        simulated_daemons fleet{daemon_count, {{"large", large}}, 17};
+        start_all(fleet, 200ms);
+        fleet.schedule_demand("large", usual_use, 1s, 6s, any_daemon(fleet));
+        fleet.schedule_demand("large", usual_use * factor, 6s, 25s, any_daemon(fleet));
+        fleet.at(6s, [&fleet] {
+            for (std::size_t index = 0; index < fleet.size(); ++index) {
+                const homes::daemon_entry& entry = fleet.at_index(index).entry;
+                if ((entry.domain == "a1" || entry.domain == "b2") &&
+                    fleet.at_index(index).node->part() > 0) {
+                    fleet.stop(index);
+                }
+            }
+        });
+        // The list drops them, and others take their slots over.
+        fleet.at(15s, [&fleet] {
+            auto list = fleet.all();
+            std::erase_if(list, [&](const homes::daemon_entry& entry) {
+                for (std::size_t index = 0; index < fleet.size(); ++index) {
+                    if (fleet.at_index(index).entry.name == entry.name) {
+                        return fleet.at_index(index).node == nullptr;
+                    }
+                }
+                return false;
+            });
+            for (std::size_t index = 0; index < fleet.size(); ++index) {
+                fleet.set_list(index, list);
+            }
+        });
+        fleet.run_until(27s);
+        CHECK(fleet.most_in_window("large") <= allowed(large));
+        if (factor == 1.0) {
+            CHECK(fleet.summarize("large", 1s, 25s).refused == 0);
+            CHECK(fleet.summarize("large", 1s, 25s).longest_wait <= 400ms);
+        }
+        else {
+            CHECK(fleet.summarize("large", 7s, 15s).ran >=
+                  8 * large.rate_per_second * 4 / 6 * 0.95);
+        }
+    }
+}
+
 // Guards against daemons that grant a burst again after each restart, and against demand below the
 // limit that is refused after it.
 TEST_CASE("restarts of all daemons, also twice in one window")
--- a/packages/allowance/tests/test_keeper.cpp
+++ b/packages/allowance/tests/test_keeper.cpp
@@ -99,6 +99,20 @@
     CHECK(refused[0].retry_after > duration{0});
 }
 
+// Guards against operations that hang, or run without a token, when their account is removed.
+TEST_CASE("operations of a removed account are refused")
+{
+    stock entry{terms{}, "d", 1};
+    entry.set_limits({{"a", {100, 100}}});
+    entry.set_keepers({{"k", 0}}, 0.5);
+    entry.wait("a", 7, start);
+    entry.set_limits({});
+    const std::vector<decision> refused = entry.take_decisions();
+    REQUIRE(refused.size() == 1);
+    CHECK_FALSE(refused[0].granted);
+    CHECK(entry.next_tick() == time_point::max());
+}
+
 // Guards against a small account that is refused while each keeper has a part of a token.
 TEST_CASE("parts of a token from several keepers permit an operation")
 {
