Allowances: name higher daemons in the answers to a claim

Cause: two daemons of a domain that miss each other in their lists both held the slot: the announcement of one had expired for the other, or was too new.

Change: the answer to a claim names a daemon that ranks higher than the claimant, if its sender knows one; that daemon counts for 35 s.

--- a/packages/allowance/include/gypsumstep/allowance/messages.h
+++ b/packages/allowance/include/gypsumstep/allowance/messages.h
@@ -51,12 +51,23 @@
     friend bool operator==(const token_answer&, const token_answer&) = default;
 };
 
+/// A daemon that the sender of a message knows.
+struct known_daemon {
+    std::string name;
+    std::uint32_t capacity{0}; ///< thousandths of a processor core
+
+    friend bool operator==(const known_daemon&, const known_daemon&) = default;
+};
+
 /// A daemon tells the others of its failure domain that it runs.
 struct presence {
     std::string sender;
     std::string domain;
     std::uint32_t capacity{0}; ///< thousandths of a processor core
     bool is_answer{false};     ///< not to be answered again
+    /// In an answer: the daemons that rank first for a slot, before the receiver, as far as the
+    /// sender knows.
+    std::vector<known_daemon> higher{};
 
     friend bool operator==(const presence&, const presence&) = default;
 };
--- a/packages/allowance/include/gypsumstep/allowance/slot_ownership.h
+++ b/packages/allowance/include/gypsumstep/allowance/slot_ownership.h
@@ -19,7 +19,8 @@
 /// The ranks of two daemons do not depend on the list. So a daemon that hears of a higher one
 /// gives its slots up, and one that wants a slot first tells all others that it runs. It wants one
 /// only while it is listed itself: of two daemons that read their own announcements in the list,
-/// the one that was announced later also read the other's.
+/// the one that was announced later also read the other's. An announcement may have expired since,
+/// so the answers also name a higher daemon that their sender knows.
 class slot_ownership {
 public:
     /// \param self this daemon
@@ -32,6 +33,10 @@
     /// Handles a message of another daemon. It must be answered unless it is an answer.
     void on_presence(const presence& content, time_point now);
 
+    /// The daemons that rank first for a slot, before another daemon, without this one.
+    [[nodiscard]] std::vector<known_daemon> higher_than(const presence& other,
+                                                        time_point now) const;
+
     /// Must be called at next_tick().
     void on_tick(time_point now);
     [[nodiscard]] time_point next_tick() const { return m_next_round; }
@@ -56,6 +61,11 @@
         [[nodiscard]] bool was_heard_lately(time_point now) const;
     };
 
+    struct hint {
+        std::uint32_t capacity{0};
+        time_point heard_at{};
+    };
+
     [[nodiscard]] bool counts(const member& other, time_point now) const;
     [[nodiscard]] std::uint32_t best_slots(time_point now) const;
     void update_claim(time_point now);
@@ -64,6 +74,7 @@
     homes::daemon_entry m_self;
     std::uint32_t m_slots;
     std::map<std::string, member, std::less<>> m_members; ///< without this daemon
+    std::map<std::string, hint, std::less<>> m_hints;     ///< daemons that others know
     std::uint32_t m_claimed{0}; ///< slots that this daemon ranks first for
     time_point m_claimed_at{};
     bool m_established{false}; ///< nobody's first answer to the claim is awaited any more
--- a/packages/allowance/src/participant.cpp
+++ b/packages/allowance/src/participant.cpp
@@ -60,7 +60,11 @@
 {
     m_ownership.on_presence(content, now);
     if (!content.is_answer) {
-        m_messages.push_back({content.sender, own_presence(true)});
+        presence answer = own_presence(true);
+        if (content.domain == m_self.domain) {
+            answer.higher = m_ownership.higher_than(content, now);
+        }
+        m_messages.push_back({content.sender, std::move(answer)});
     }
     update_part(now);
 }
@@ -122,7 +126,7 @@
 
 presence participant::own_presence(bool is_answer) const
 {
-    return {m_self.name, m_self.domain, m_self.capacity, is_answer};
+    return {m_self.name, m_self.domain, m_self.capacity, is_answer, {}};
 }
 
 } // namespace gypsumstep::allowance
--- a/packages/allowance/src/slot_ownership.cpp
+++ b/packages/allowance/src/slot_ownership.cpp
@@ -29,6 +29,10 @@
 /// Interval between messages of a holder to all others.
 constexpr duration renewal_interval = 30s;
 
+/// How long a daemon counts that only others know. They are asked again after that, and by a holder
+/// before.
+constexpr duration hint_time = 35s;
+
 /// A holder that heard nobody for this long, two renewals and a margin, may be cut off from its
 /// domain, whose other daemons then choose another one.
 constexpr duration isolation_time = 70s;
@@ -87,9 +91,36 @@
     other.heard = true;
     other.ever_heard = true;
     other.last_heard = now;
+    for (const known_daemon& higher : content.higher) {
+        if (higher.name != m_self.name) {
+            m_hints.insert_or_assign(higher.name, hint{higher.capacity, now});
+        }
+    }
     update_claim(now);
 }
 
+std::vector<known_daemon> slot_ownership::higher_than(const presence& other, time_point now) const
+{
+    std::vector<known_daemon> higher;
+    for (std::uint32_t slot = 0; slot < m_slots; ++slot) {
+        double best = slot_rank(other.sender, other.capacity, slot);
+        const std::string* name = nullptr;
+        std::uint32_t capacity = 0;
+        for (const auto& [candidate, known] : m_members) {
+            const double rank = slot_rank(candidate, known.capacity, slot);
+            if (candidate != other.sender && counts(known, now) && rank > best) {
+                best = rank;
+                name = &candidate;
+                capacity = known.capacity;
+            }
+        }
+        if (name != nullptr) {
+            higher.push_back({*name, capacity});
+        }
+    }
+    return higher;
+}
+
 bool slot_ownership::member::is_silent(time_point now) const
 {
     return !heard && now - asked_at >= silence_timeout;
@@ -114,7 +145,11 @@
             return counts(entry.second, now) &&
                    slot_rank(entry.first, entry.second.capacity, slot) > own;
         });
-        count += best ? 1 : 0;
+        const bool hinted = std::any_of(m_hints.begin(), m_hints.end(), [&](const auto& entry) {
+            return now - entry.second.heard_at <= hint_time &&
+                   slot_rank(entry.first, entry.second.capacity, slot) > own;
+        });
+        count += best && !hinted ? 1 : 0;
     }
     return count;
 }
@@ -129,7 +164,10 @@
     const bool grew = best > m_claimed;
     m_claimed = best;
     if (best == 0) {
-        m_next_round = time_point::max();
+        // A hint ends without a further event.
+        std::erase_if(m_hints,
+                      [&](const auto& entry) { return now - entry.second.heard_at > hint_time; });
+        m_next_round = m_hints.empty() ? time_point::max() : now + hint_time;
         return;
     }
     if (grew) {
--- a/packages/allowance/tests/test_slot_ownership.cpp
+++ b/packages/allowance/tests/test_slot_ownership.cpp
@@ -37,6 +37,27 @@
     CHECK(one.held_slots(start + 400ms) == 0);
 }
 
+// Guards against two holders that do not know each other, while a third daemon knows both.
+TEST_CASE("a daemon learns of a higher one from the answers of others")
+{
+    slot_ownership third{{"third", "a", "", 0, 0}, 1};
+    third.set_daemons({{"third", "a", "", 0, 0}, high, low}, start);
+    const presence claim{"low", "a", 1, false};
+    REQUIRE(third.higher_than(claim, start).size() == 1);
+    CHECK(third.higher_than(claim, start)[0] == known_daemon{"high", 500});
+    CHECK(third.higher_than({"high", "a", 500, false}, start).empty());
+
+    const homes::daemon_entry middle{"middle", "a", "", 0, 100};
+    slot_ownership one{middle, 1};
+    one.set_daemons({middle}, start);
+    CHECK(one.held_slots(start + 200ms) == 1);
+    one.on_presence({"third", "a", 0, true, {{"high", 500}}}, start + 300ms);
+    CHECK(one.held_slots(start + 300ms) == 0);
+    // The hint is too old after a while, and the slot is claimed again.
+    one.on_tick(one.next_tick() + 1ms);
+    CHECK(one.next_tick() < start + 36s);
+}
+
 // Guards against a whole slot granted beside a daemon that is cut off and still grants it.
 TEST_CASE("a slot counts half while another daemon is silent")
 {
--- a/packages/edge/src/allowance_codec.cpp
+++ b/packages/edge/src/allowance_codec.cpp
@@ -48,8 +48,14 @@
 
 QCborArray to_array(const allowance::presence& content)
 {
-    return {presence_format, to_cbor(content.sender), to_cbor(content.domain),
-            static_cast<qint64>(content.capacity), content.is_answer};
+    QCborArray higher;
+    for (const allowance::known_daemon& daemon : content.higher) {
+        higher.append(to_cbor(daemon.name));
+        higher.append(static_cast<qint64>(daemon.capacity));
+    }
+    return {presence_format,         to_cbor(content.sender),
+            to_cbor(content.domain), static_cast<qint64>(content.capacity),
+            content.is_answer,       higher};
 }
 
 std::uint32_t read_count(cbor_array_reader& fields)
@@ -137,7 +143,14 @@
         content.domain = fields.text();
         content.capacity = read_count(fields);
         content.is_answer = fields.boolean();
-        if (fields.failed() || content.sender.empty()) {
+        cbor_array_reader higher{fields.next()};
+        while (!higher.failed() && !higher.at_end()) {
+            allowance::known_daemon daemon;
+            daemon.name = higher.text();
+            daemon.capacity = read_count(higher);
+            content.higher.push_back(std::move(daemon));
+        }
+        if (fields.failed() || higher.failed() || content.sender.empty()) {
             return malformed;
         }
         return allowance::message{std::move(content)};
--- a/packages/edge/tests/test_peer_link.cpp
+++ b/packages/edge/tests/test_peer_link.cpp
@@ -47,7 +47,7 @@
     const std::vector<allowance::message> messages{
         allowance::token_request{"front-1", 1U << 31U, {{"acme", 2, 1, 0}, {"b", 0, 0, 700}}},
         allowance::token_answer{7, true, {{2000, 0ms}, {700, 1500ms}}},
-        allowance::presence{"front-2", "a1", 500, true}};
+        allowance::presence{"front-2", "a1", 500, true, {{"front-3", 900}}}};
     for (const allowance::message& message : messages) {
         const QByteArray good = encode_allowance_message(message);
         CHECK(is_allowance_message(good));
--- a/packages/proxy/tests/test_accounts.cpp
+++ b/packages/proxy/tests/test_accounts.cpp
@@ -97,3 +97,37 @@
     CHECK(fleet.ask(client, harness::begin())->error == error_class::unauthorized);
     CHECK(fleet.commands(command_kind::forward).empty());
 }
+
+// Guards against statements inside a transaction, or without effect on servers, that are counted
+// against the limit of an account, and against operations that are not.
+TEST_CASE("The account of an operation is known at its start only", "[proxy]")
+{
+    harness fleet = with_accounts();
+    fleet.accounts = two_accounts();
+    fleet.start();
+    fleet.key = digest(1);
+    const session_id client = fleet.connect("primary");
+    const auto& tested = fleet.proxy_under_test();
+    using statement::verb;
+    for (const verb kind :
+         {verb::begin, verb::begin_read_only, verb::read, verb::write, verb::execute}) {
+        CHECK(tested.account_of_operation(client, kind) == "north");
+    }
+    for (const verb kind :
+         {verb::set, verb::prepare, verb::close, verb::commit, verb::rollback, verb::unknown}) {
+        CHECK_FALSE(tested.account_of_operation(client, kind));
+    }
+    (void)fleet.ask(client, harness::begin());
+    CHECK_FALSE(tested.account_of_operation(client, verb::read));
+    (void)fleet.ask(client, harness::rollback());
+    CHECK_FALSE(tested.is_running_statement(client));
+    fleet.proxy_under_test().refuse_operation(client, "allowance used up; retry after 5 ms",
+                                              fleet.now);
+    const auto answer = fleet.ask(client, harness::write());
+    REQUIRE(answer);
+    CHECK(answer->ok());
+    // A removed key: on_client_statement() refuses the operation.
+    fleet.accounts = accounts::account_table{};
+    fleet.configure(2);
+    CHECK_FALSE(tested.account_of_operation(client, verb::read));
+}
