--- a/packages/edge/src/daemon_roster.cpp
+++ b/packages/edge/src/daemon_roster.cpp
@@ -140,7 +140,9 @@
     if (done) {
         m_announced_at = time;
         m_announce_again = false;
-        m_announced_here = true;
+        if (!std::exchange(m_announced_here, true)) {
+            m_events.announced();
+        }
         return;
     }
     log().warn(
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -73,14 +73,24 @@
                            line_logger& log_output)
     : m_settings{std::move(settings)}, m_settings_file{std::move(settings_file)},
       m_log_output{log_output}, m_metrics{m_registry}, m_proxy{proxy_options(m_settings)},
-      m_peer_link{[this](const promotion::peer_message& message) {
-          // A message of a daemon that knows a later era tells that the store went back.
-          if (message.store_era > m_era.current()) {
-              (void)m_era.observe(message.store_era);
-          }
-          m_proxy.on_peer_message(message, boot_now());
-          run_actions();
+      m_peer_link{{
+          [this](const promotion::peer_message& message) {
+              // A message of a daemon that knows a later era tells that the store went back.
+              if (message.store_era > m_era.current()) {
+                  (void)m_era.observe(message.store_era);
+              }
+              m_proxy.on_peer_message(message, boot_now());
+              run_actions();
+          },
+          [this](const allowance::message& message) {
+              m_allowance_gate.on_message(message);
+              run_actions();
+          },
       }},
+      m_allowance_gate{m_settings, seed_of(m_settings), m_registry,
+                       [this](const std::string& daemon, const allowance::message& message) {
+                           m_peer_link.send(daemon, message);
+                       }},
       m_roster{m_settings,
                m_clock,
                m_era,
@@ -89,11 +99,14 @@
                    [this] { on_daemons_changed(); },
                    [this] { return m_store_view.subscribers(); },
                    [this] { return !m_store_view.reads_store(); },
+                   [this] { read_own_announcement(); },
                }},
       m_client_listener{client_listener_events(), session_id{1}, adapter::line_sender::client},
       m_forwarding_listener{forwarding_listener_events(), first_forwarded_session,
                             adapter::line_sender::daemon},
-      m_forwarder{m_client_listener, m_roster.homes(), seed_of(m_settings),
+      m_forwarder{m_client_listener,
+                  m_roster.homes(),
+                  seed_of(m_settings),
                   [this](const adapter::start_message& start) {
                       const directory::route* const route = m_proxy.routes().find(start.database);
                       return route == nullptr || m_proxy.authorize(*route, start.key).granted;
@@ -102,7 +115,8 @@
                       m_proxy.on_client_connected(id, boot_now());
                       m_proxy.on_client_start(id, start.database, start.key, boot_now());
                       run_actions();
-                  }},
+                  },
+                  limits_of_forwarded_sessions()},
       m_server_connections{
           m_settings.name,
           {
@@ -126,6 +140,7 @@
                    {
                        [this](directory::configuration configuration) {
                            m_proxy.on_configuration(std::move(configuration), boot_now());
+                           update_accounts();
                            retry_forwarded_starts();
                            update_served_groups();
                        },
@@ -171,6 +186,11 @@
     events.started = [this](session_id id, const adapter::start_message& message) {
         on_client_started(id, message);
     };
+    // Operations are counted where their client is connected, so not for forwarded sessions.
+    events.statement_received = [this](session_id id, statement::statement request) {
+        on_own_statement(id, std::move(request));
+        run_actions();
+    };
     return events;
 }
 
@@ -283,6 +303,7 @@
 void edge_process::run(proxy::send_answer& action)
 {
     listener_of(action.session).send_answer(action.session, action.content);
+    release_held(action.session);
 }
 
 void edge_process::run(proxy::send_start_answer& action)
@@ -294,6 +315,12 @@
 {
     m_pending_forwarded_starts.erase(action.session);
     m_pending_client_starts.erase(action.session);
+    if (drop_held(action.session)) {
+        statement::answer not_run;
+        not_run.error = statement::error_class::busy;
+        not_run.error_text = "the statement was not sent to a server; reconnect";
+        listener_of(action.session).send_answer(action.session, not_run);
+    }
     listener_of(action.session).close(action.session);
 }
 
@@ -410,6 +437,7 @@
     m_metrics.set(m_proxy.gauges());
     m_metrics.set(store_numbers{m_era.current(), m_era.rollbacks(), m_era.late_answers(),
                                 m_promotion_executor.restored_claims()});
+    m_allowance_gate.update_gauges();
     return {status_ok, m_registry.expose(boot_now())};
 }
 
