--- a/packages/homes/tests/test_account_homes.cpp
+++ b/packages/homes/tests/test_account_homes.cpp
@@ -96,7 +96,7 @@
 TEST_CASE("Without an account near homes come first")
 {
     const home_table table = make_table("d0-5", "d0");
-    const auto homes = table.homes_of("s", max_connections);
+    const auto& homes = table.homes_of("s", max_connections);
     const auto plain = table.forwarding_order("s", max_connections, 7, now);
     CHECK(table.account_order("s", max_connections, {}, 7, now) == plain);
     const auto own = std::find_if(homes.begin(), homes.end(),
--- a/packages/proxy/src/account_connections.cpp
+++ b/packages/proxy/src/account_connections.cpp
@@ -165,7 +165,8 @@
                              dispatch::demand_table& demands, time_point now)
 {
     dispatch::account_demand& demand = demand_at(demands, server, work->account);
-    if (demand.is_blocked) {
+    // Urgent statements have a reserve of the pace, so they are not blocked by others.
+    if (demand.is_blocked && work->priority != 0) {
         ++demand.waiting;
         count_wait(*work, wait_cause::no_connection);
         return false;
--- a/packages/proxy/tests/harness.h
+++ b/packages/proxy/tests/harness.h
@@ -228,6 +228,8 @@
     /// Returns the client account that a connection was opened for.
     std::string account_of(server_connection_id id) const { return m_accounts.at(id); }
 
+    std::string server_of(server_connection_id id) const { return m_connections.at(id); }
+
     bool connection_open(server_connection_id id) const { return m_connections.contains(id); }
 
     static statement::statement make(verb kind, const std::string& text)
--- a/packages/proxy/tests/simulated_homes.h
+++ b/packages/proxy/tests/simulated_homes.h
@@ -85,8 +85,10 @@
     void lose_home()
     {
         const auto lost = m_homes.begin();
-        for (const auto& [id, used] : lost->second.links) {
-            m_queue.after(3s, [this, used] { m_servers.at(used.server).connections -= used.open; });
+        for (const auto& entry : lost->second.links) {
+            m_queue.after(3s, [this, used = entry.second] {
+                m_servers.at(used.server).connections -= used.open;
+            });
         }
         for (homes::home_table& table : m_tables) {
             table.mark_failed(lost->first, m_queue.now());
--- a/packages/proxy/tests/test_accounts.cpp
+++ b/packages/proxy/tests/test_accounts.cpp
@@ -97,3 +97,39 @@
     CHECK(fleet.ask(client, harness::begin())->error == error_class::unauthorized);
     CHECK(fleet.commands(command_kind::forward).empty());
 }
+
+// Guards against a daemon that keeps idle connections of little use while a server has too many,
+// so that a restarted daemon finds no room.
+TEST_CASE("A refusal for too many connections closes idle ones of little use", "[proxy]")
+{
+    harness fleet = with_accounts();
+    accounts::account_table table;
+    for (std::uint8_t number = 1; number <= 5; ++number) {
+        table.add({"account" + std::to_string(number), 1, 10, 10, {digest(number)}});
+    }
+    fleet.accounts = table;
+    fleet.start();
+    fleet.advance_time(5s);
+    for (std::uint8_t number = 1; number <= 4; ++number) {
+        fleet.key = digest(number);
+        CHECK(fleet.ask(fleet.connect("primary"), harness::write())->ok());
+    }
+    fleet.advance_time(60s);
+    const auto open_at_primary = [&] {
+        std::vector<server_connection_id> open;
+        for (std::uint64_t id = 1; id < 20; ++id) {
+            if (fleet.connection_open(server_connection_id{id}) &&
+                fleet.server_of(server_connection_id{id}) == "p") {
+                open.push_back(server_connection_id{id});
+            }
+        }
+        return open;
+    };
+    REQUIRE(open_at_primary().size() == 4);
+    fleet.key = digest(5);
+    fleet.send_to_silent("p", fleet.connect("primary"), harness::write());
+    statement::answer refusal;
+    refusal.error = error_class::too_many;
+    fleet.answer_late({"p", open_at_primary().back(), {}}, refusal);
+    CHECK(open_at_primary().size() == 2);
+}
