--- a/packages/accounts/tests/test_account_table.cpp
+++ b/packages/accounts/tests/test_account_table.cpp
@@ -52,3 +52,18 @@
     CHECK_FALSE(parse_key_digest(text.substr(1) + "g"));
     CHECK_FALSE(parse_key_digest(text.substr(2) + "+1"));
 }
+
+// Guards against an account that is taken for a small one, and whose sessions crowd at one home.
+TEST_CASE("An account's share of the traffic is judged by its rate")
+{
+    account_table table;
+    table.add({"large", 1, 30, 30, {}});
+    table.add({"small", 1, 10, 10, {}});
+    CHECK(table.traffic_share("large") == Approx(0.75));
+    CHECK(table.traffic_share("unknown") == Approx(0.0));
+    table.add({"unlimited", 1, 0, 0, {}});
+    CHECK(table.traffic_share("unlimited") == Approx(1.0));
+    account_table without_rates;
+    without_rates.add({"one", 1, 0, 0, {}});
+    CHECK(without_rates.traffic_share("one") == Approx(0.0));
+}
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -270,6 +270,9 @@
     bool try_start_read_of_account(database_group& group, const task_ptr& work,
                                    std::vector<dispatch::candidate> candidates,
                                    dispatch::demand_table& demands, time_point now);
+    /// Returns true if a server may run another statement. Checked before anything else, so that a
+    /// long queue costs little while all slots are taken.
+    [[nodiscard]] bool has_free_slot(const database_group& group, const task& work) const;
     void count_wait(task& work, wait_cause cause);
     void open_connection(backend_server& server, const std::string& account, time_point now);
     /// Opens a connection for the proxy's own commands, which run on one of any account.
--- a/packages/proxy/src/account_connections.cpp
+++ b/packages/proxy/src/account_connections.cpp
@@ -248,6 +248,13 @@
     return false;
 }
 
+bool proxy::has_free_slot(const database_group& group, const task& work) const
+{
+    return std::any_of(group.servers.begin(), group.servers.end(), [&](const auto* server) {
+        return server->running < statement_limit_for(work, *server);
+    });
+}
+
 void proxy::count_wait(task& work, wait_cause cause)
 {
     const auto bit = static_cast<std::uint8_t>(1U << static_cast<unsigned>(cause));
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -135,6 +135,10 @@
         request_watermark(group, work->bound.acknowledged_before, work->account, now);
         return false;
     }
+    if (uses_accounts() && !has_free_slot(group, *work)) {
+        count_wait(*work, wait_cause::slots);
+        return false;
+    }
     std::vector<dispatch::candidate> candidates;
     for (const backend_server* const server : group.servers) {
         const directory::server_record* const record = m_directory.find(server->id);
