--- a/packages/proxy/src/account_connections.cpp
+++ b/packages/proxy/src/account_connections.cpp
@@ -165,7 +165,8 @@
                              dispatch::demand_table& demands, time_point now)
 {
     dispatch::account_demand& demand = demand_at(demands, server, work->account);
-    if (demand.is_blocked) {
+    // Urgent statements have a reserve of the pace, so they are not blocked by others.
+    if (demand.is_blocked && work->priority != 0) {
         ++demand.waiting;
         count_wait(*work, wait_cause::no_connection);
         return false;
@@ -251,6 +252,13 @@
     return false;
 }
 
+bool proxy::has_free_slot(const database_group& group, const task& work) const
+{
+    return std::any_of(group.servers.begin(), group.servers.end(), [&](const auto* server) {
+        return server->running < statement_limit_for(work, *server);
+    });
+}
+
 void proxy::count_wait(task& work, wait_cause cause)
 {
     const auto bit = static_cast<std::uint8_t>(1U << static_cast<unsigned>(cause));
