--- a/packages/scheduling/include/gypsumstep/scheduling/fair_queue.h
+++ b/packages/scheduling/include/gypsumstep/scheduling/fair_queue.h
@@ -10,6 +10,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -190,6 +191,8 @@
             detail::account_state* state{nullptr};
             detail::arrival_order after{}; ///< last visited item
             bool begun{false};             ///< an item was visited
+            fair_item* next{nullptr};      ///< item to visit next, as of \c version
+            std::uint64_t version{0};      ///< m_version when \c next was looked up
             duration added{0};             ///< sum of the steps
             std::size_t visited{0};
             std::size_t visited_restricted{0};
@@ -200,7 +203,7 @@
             }
         };
 
-        [[nodiscard]] static fair_item* next_of(const position& place);
+        [[nodiscard]] fair_item* next_of(position& place) const;
         bool update(position& place) const;
         void push(position place);
 
@@ -241,6 +244,7 @@
     std::size_t m_size{0};
     std::size_t m_restricted{0};
     std::uint64_t m_next_sequence{1};
+    std::uint64_t m_version{1}; ///< grows when an item is added or removed
     std::size_t m_prune_at{min_prune_size};
     std::uint32_t m_cursors{0}; ///< no account is dropped while a cursor refers to it
 };
@@ -249,6 +253,7 @@
 void fair_queue<Item, Key>::push(Item& added, const Key& account)
 {
     account_state& state = state_of(account);
+    ++m_version;
     added.sequence = m_next_sequence++;
     added.account_queue = &state;
     if (state.waiting.empty()) {
@@ -268,6 +273,7 @@
 template <class Item, class Key>
 void fair_queue<Item, Key>::remove(Item& removed)
 {
+    ++m_version;
     account_state& state = *std::exchange(removed.account_queue, nullptr);
     state.waiting.erase(state.waiting.iterator_to(removed));
     state.restricted -= removed.restricted ? 1 : 0;
@@ -423,6 +429,8 @@
         if (item == nullptr) {
             continue;
         }
+        const auto following = std::next(place.state->waiting.iterator_to(*item));
+        place.next = following == place.state->waiting.end() ? nullptr : &*following;
         place.after = detail::by_arrival{}(*item);
         place.begun = true;
         place.added += m_step;
@@ -440,11 +448,15 @@
 }
 
 template <class Item, class Key>
-fair_item* fair_queue<Item, Key>::cursor::next_of(const position& place)
+fair_item* fair_queue<Item, Key>::cursor::next_of(position& place) const
 {
-    auto& waiting = place.state->waiting;
-    const auto found = place.begun ? waiting.upper_bound(place.after) : waiting.begin();
-    return found == waiting.end() ? nullptr : &*found;
+    if (place.version != m_queue.m_version) {
+        auto& waiting = place.state->waiting;
+        const auto found = place.begun ? waiting.upper_bound(place.after) : waiting.begin();
+        place.next = found == waiting.end() ? nullptr : &*found;
+        place.version = m_queue.m_version;
+    }
+    return place.next;
 }
 
 template <class Item, class Key>
