Tell again which reads only the primary can run when they are queued again

Cause: a read that a lagging replica refused kept the mark of its admission, so the expected waits at the primary did not count it. Change: the mark is set at admission and whenever a statement is queued again.

--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -202,6 +202,8 @@
                                               time_point now) const;
     [[nodiscard]] bool may_run(const database_group& group, const backend_server& server,
                                const task& work, time_point now) const;
+    [[nodiscard]] bool runs_only_on_primary(const database_group& group, const task& work,
+                                            time_point now) const;
     [[nodiscard]] bool expects_lag_refusal(const database_group& group,
                                            const backend_server& server, const task& work,
                                            time_point now) const;
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -353,12 +353,8 @@
     database_group& group = group_of(work->route.service);
     if (!work->needs_primary) {
         work->required_position = group.watermarks.position_for(work->bound);
-        work->only_primary =
-            group.queue.is_fair() &&
-            std::none_of(group.servers.begin(), group.servers.end(), [&](const auto* server) {
-                return group.primary != server->id && may_run(group, *server, *work, now);
-            });
     }
+    work->only_primary = runs_only_on_primary(group, *work, now);
     update_queue(group, now);
     dispatch::admission_input input;
     input.expected_wait = expected_wait(group, *work, group.queue.count_ahead(*work), now);
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -52,7 +52,9 @@
         finish_watermark_request(group_of(work->route.service));
         return;
     }
-    enqueue(group_of(work->route.service), work);
+    database_group& group = group_of(work->route.service);
+    work->only_primary = runs_only_on_primary(group, *work, now);
+    enqueue(group, work);
     request_tick(tick_need::soon);
 }
 
@@ -288,6 +290,18 @@
            !(work.required_position && expects_lag_refusal(group, server, work, now));
 }
 
+bool proxy::runs_only_on_primary(const database_group& group, const task& work,
+                                 time_point now) const
+{
+    if (work.needs_primary || !group.queue.is_fair()) {
+        return work.needs_primary;
+    }
+    return std::none_of(
+        group.servers.begin(), group.servers.end(), [&](const backend_server* server) {
+            return group.primary != server->id && may_run(group, *server, work, now);
+        });
+}
+
 std::uint32_t proxy::available_capacity(const database_group& group, const task& work,
                                         time_point now) const
 {
