Keep a read-only transaction whose first read was sent on its server

Change: such a transaction starts on another server only while its first statement was not sent. A retried read gets at least a tenth of its timeout.

--- a/packages/proxy/src/outcomes.cpp
+++ b/packages/proxy/src/outcomes.cpp
@@ -133,9 +133,10 @@
 
 bool proxy::may_restart(const task& work, const client_session& owner)
 {
-    // The first statement of a read-only transaction has shown its client nothing yet.
-    return work.is_read &&
-           (!owner.open_transaction || (work.opens_transaction && work.read_only_transaction));
+    // All statements of a transaction run in one transaction of a server: the first one decides
+    // which, once it was sent, even if its client has seen no answer.
+    return work.is_read && (!owner.open_transaction ||
+                            (work.opens_transaction && work.read_only_transaction && !work.sent));
 }
 
 bool proxy::take_read_retry(database_group& group, task& work, time_point now)
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -25,6 +25,10 @@
 /// registration changes.
 constexpr duration primary_denial_period = 500ms;
 
+/// A retried read gets at least its timeout divided by this number, also if this process was
+/// delayed before it was sent: what the time in the queue leaves for running a statement.
+constexpr std::int64_t min_retry_divisor = 10;
+
 } // namespace
 
 void proxy::assign(server_connection& connection, const task_ptr& work, time_point now)
@@ -102,9 +106,10 @@
     work->sent = true;
     work->sent_at = now;
     // A read that is retried ends within the time that its first attempt had.
+    const duration whole = work->route.statement_timeout;
     const duration timeout = work->read_retries == 0 && !work->hedged
-                                 ? work->route.statement_timeout
-                                 : work->arrived + work->route.statement_timeout - now;
+                                 ? whole
+                                 : std::max(work->arrived + whole - now, whole / min_retry_divisor);
     send(connection, std::move(command), timeout, now);
 }
 
--- a/packages/proxy/src/statement_end.cpp
+++ b/packages/proxy/src/statement_end.cpp
@@ -54,15 +54,6 @@
     }
     const client_session& owner = *find_session(work->session);
     if (owner.open_transaction) {
-        if (content.error == error_class::failed && may_restart(*work, owner) &&
-            take_read_retry(group, *work, now)) {
-            connection.work.reset();
-            connection.transaction_owner.reset();
-            connection.in_transaction = true;
-            restart_read(work, server.id, now);
-            roll_back(connection, now);
-            return;
-        }
         if (!retry_in_transaction(connection, work, content, now)) {
             fail_in_transaction(connection, work, std::move(content), now);
         }
