--- a/packages/proxy/src/outcomes.cpp
+++ b/packages/proxy/src/outcomes.cpp
@@ -18,7 +18,7 @@
 void proxy::record_outcome(backend_server& server, dispatch::request_outcome outcome,
                            time_point now)
 {
-    if (!m_options.detects_outliers) {
+    if (!m_options.adapts_to_uneven_servers) {
         return;
     }
     server.outcomes.on_outcome(outcome, now);
@@ -119,7 +119,7 @@
 
 void proxy::check_silence(server_connection& connection, time_point now)
 {
-    if (!m_options.detects_outliers) {
+    if (!m_options.adapts_to_uneven_servers) {
         return;
     }
     backend_server& server = *find_server(connection.server);
@@ -139,9 +139,10 @@
 
 bool proxy::may_restart(const task& work, const client_session& owner)
 {
-    // The first statement of a read-only transaction has shown its client nothing yet.
-    return work.is_read &&
-           (!owner.open_transaction || (work.opens_transaction && work.read_only_transaction));
+    // All statements of a transaction run in one transaction of a server: the first one decides
+    // which, once it was sent, even if its client has seen no answer.
+    return work.is_read && (!owner.open_transaction ||
+                            (work.opens_transaction && work.read_only_transaction && !work.sent));
 }
 
 bool proxy::take_read_retry(database_group& group, task& work, time_point now)
