Ask the homes more often while only they allow to use a primary

Cause: after a start or the store's return from a copy, a daemon uses a primary only with the answers of most homes; a home that was not up yet was asked again after 0.6 s.

Change: every 0.2 s until most have answered, and no further questions while their answers are fresh.

Result: test_promotion and test_proxy pass.

--- a/packages/promotion/include/gypsumstep/promotion/claim_exchange.h
+++ b/packages/promotion/include/gypsumstep/promotion/claim_exchange.h
@@ -72,6 +72,10 @@
     /// Interval between questions to a home of a group while the store's claims are not known.
     static constexpr duration home_ask_interval = 600ms;
 
+    /// The same while only the homes' answers allow to use a primary: short, since the daemon
+    /// serves no writes until most of a group's homes have answered.
+    static constexpr duration unsettled_ask_interval = 200ms;
+
     /// Interval between questions to a daemon that has not confirmed a claim yet.
     static constexpr duration release_ask_interval = 60ms;
 
--- a/packages/promotion/src/claim_exchange.cpp
+++ b/packages/promotion/src/claim_exchange.cpp
@@ -344,10 +344,14 @@
     if (is_settled && known && *known < home_ask_age) {
         return;
     }
+    const duration interval = is_settled ? home_ask_interval : unsettled_ask_interval;
     for (const std::string& service : m_followed) {
+        if (!is_settled && has_majority(service, now + home_ask_interval)) {
+            continue; // for a while, the answers so far are enough
+        }
         for (const std::string& home : homes_of(service)) {
             const auto [place, added] = m_home_questions.emplace(home, now);
-            if (home != m_daemon && (added || now - place->second >= home_ask_interval)) {
+            if (home != m_daemon && (added || now - place->second >= interval)) {
                 place->second = now;
                 ask(home, now);
             }
--- a/packages/promotion/tests/test_claim_exchange.cpp
+++ b/packages/promotion/tests/test_claim_exchange.cpp
@@ -308,3 +308,19 @@
     CHECK(fleet["b"].newest("ledger")->token == 5);
     CHECK(fleet["b"].is_permitted("ledger", fleet.now));
 }
+
+// A restart of all daemons must not leave the groups without writes until the store counts again.
+TEST_CASE("daemons that start together may use a primary once most homes answer")
+{
+    exchanges fleet{{"a", "b", "c"}};
+    fleet.unreachable = {"b", "c"};
+    for (const char* name : {"a", "b", "c"}) {
+        fleet[name].on_store_era(1, fleet.now);
+    }
+    fleet.run(claim_exchange::permit_lifetime + 100ms);
+    CHECK_FALSE(fleet["a"].is_permitted("ledger", fleet.now));
+    fleet.unreachable = {"c"};
+    fleet.run(claim_exchange::unsettled_ask_interval + 40ms);
+    CHECK(fleet["a"].is_permitted("ledger", fleet.now));
+    CHECK_FALSE(fleet["c"].is_permitted("ledger", fleet.now));
+}
