--- a/packages/promotion/include/gypsumstep/promotion/coordinator.h
+++ b/packages/promotion/include/gypsumstep/promotion/coordinator.h
@@ -190,10 +190,10 @@
     /// Returns the actions to carry out, in order, and clears them.
     [[nodiscard]] std::vector<action> take_actions();
 
-    /// Whether a promotion is in progress, so that the group can expect a primary soon.
     /// Whether other daemons respect the claim at \p now, by the store's clock.
     [[nodiscard]] static bool is_leased(const claim& value, store_time now);
 
+    /// Whether a promotion is in progress, so that the group can expect a primary soon.
     [[nodiscard]] bool in_progress() const { return m_step != step::idle; }
 
     /// Why no server was promoted so far, for logs; a fixed text.
