Report a backtrace on several short lines

The tool that collects the logs of a fleet cut the middle of the one long line, and with it the newest frames. A frame's line has six frames now, and the signal a line of its own.

--- a/packages/runtime/include/gypsumstep/runtime/fatal_signal.h
+++ b/packages/runtime/include/gypsumstep/runtime/fatal_signal.h
@@ -16,8 +16,9 @@
     void (*flush)(){nullptr};
 };
 
-/// Writes one line with the signal, the address and the backtrace of the thread when the process
-/// gets SIGSEGV, SIGBUS, SIGFPE, SIGILL or SIGABRT; the signal's default action follows.
+/// Writes a line with the signal and the address, and some with the backtrace of the thread, when
+/// the process gets SIGSEGV, SIGBUS, SIGFPE, SIGILL or SIGABRT; the signal's default action
+/// follows.
 ///
 /// Each frame is given as file+offset, which addr2line takes with the unstripped file. The handler
 /// runs on a stack of its own for the calling thread, so that an overflow of its stack is reported
--- a/packages/runtime/src/fatal_signal.cpp
+++ b/packages/runtime/src/fatal_signal.cpp
@@ -35,6 +35,9 @@
 /// Frames reported at most: enough to show the cycle of an endless recursion.
 constexpr std::size_t max_frames = 48;
 
+/// Frames on one line. Tools that collect logs may cut long lines.
+constexpr int frames_per_line = 6;
+
 /// Loaded files that frames are assigned to. The daemons load some 30.
 constexpr std::size_t max_files = 64;
 constexpr std::size_t max_name_bytes = 48;
@@ -89,7 +92,7 @@
     [[nodiscard]] std::size_t size() const { return m_size; }
 
 private:
-    std::array<char, 4000> m_bytes{}; // at most PIPE_BUF, so that a pipe takes the line whole
+    std::array<char, 1000> m_bytes{}; // at most PIPE_BUF, so that a pipe takes the line whole
     std::size_t m_size{0};
 };
 
@@ -129,7 +132,7 @@
     line.number(address, 16);
 }
 
-void write_line(int output, const line_buffer& line)
+void write_to(int output, const line_buffer& line)
 {
     std::size_t written = 0;
     while (written < line.size()) {
@@ -153,38 +156,66 @@
            left_file.st_dev == right_file.st_dev && left_file.st_ino == right_file.st_ino;
 }
 
-void handle_fatal_signal(int number, siginfo_t* info, void* /*context*/)
+void write_line(const line_buffer& line)
+{
+    const auto [first, second] = state.options.outputs;
+    if (first >= 0) {
+        write_to(first, line);
+    }
+    if (second >= 0 && !(first >= 0 && is_same_file(first, second))) {
+        write_to(second, line);
+    }
+}
+
+void begin_line(line_buffer& line, std::string_view message)
 {
-    std::array<void*, max_frames> frames{};
-    const int frame_count = ::backtrace(frames.data(), static_cast<int>(frames.size()));
-    line_buffer line;
     line.text(R"({"time":")");
     append_time(line);
-    line.text(R"(","level":"error","component":"fatal","message":"ended by a signal","signal":")");
+    line.text(R"(","level":"error","component":"fatal","message":")");
+    line.text(message);
+}
+
+void report_signal(int number, const siginfo_t& info)
+{
+    line_buffer line;
+    begin_line(line, R"(ended by a signal","signal":")");
     const auto* const found =
         std::find_if(fatal_signals.begin(), fatal_signals.end(),
                      [number](const fatal_signal& entry) { return entry.number == number; });
     line.text(found == fatal_signals.end() ? "unknown" : found->name);
     line.text(R"(","code":)");
     // si_code is negative for signals that a process sent.
-    line.text(info->si_code < 0 ? "-" : "");
-    line.number(static_cast<std::uint64_t>(std::abs(static_cast<std::int64_t>(info->si_code))), 10);
+    line.text(info.si_code < 0 ? "-" : "");
+    line.number(static_cast<std::uint64_t>(std::abs(static_cast<std::int64_t>(info.si_code))), 10);
     line.text(R"(,"address":"0x)");
-    line.number(reinterpret_cast<std::uintptr_t>(info->si_addr), 16);
-    line.text(R"(","backtrace":")");
-    for (int index = 0; index < frame_count; ++index) {
-        line.text(index == 0 ? "" : " ");
-        append_address(
-            line, reinterpret_cast<std::uintptr_t>(frames.at(static_cast<std::size_t>(index))));
-    }
+    line.number(reinterpret_cast<std::uintptr_t>(info.si_addr), 16);
     line.text("\"}\n");
-    const auto [first, second] = state.options.outputs;
-    if (first >= 0) {
-        write_line(first, line);
-    }
-    if (second >= 0 && !(first >= 0 && is_same_file(first, second))) {
-        write_line(second, line);
+    write_line(line);
+}
+
+void report_frames(const std::array<void*, max_frames>& frames, int count)
+{
+    for (int begin = 0; begin < count; begin += frames_per_line) {
+        line_buffer line;
+        begin_line(line, R"(backtrace","frame":)");
+        line.number(static_cast<std::uint64_t>(begin), 10);
+        line.text(R"(,"frames":")");
+        for (int index = begin; index < std::min(count, begin + frames_per_line); ++index) {
+            line.text(index == begin ? "" : " ");
+            append_address(
+                line, reinterpret_cast<std::uintptr_t>(frames.at(static_cast<std::size_t>(index))));
+        }
+        line.text("\"}\n");
+        write_line(line);
     }
+}
+
+void handle_fatal_signal(int number, siginfo_t* info, void* /*context*/)
+{
+    std::array<void*, max_frames> frames{};
+    const int count = ::backtrace(frames.data(), static_cast<int>(frames.size()));
+    report_signal(number, *info);
+    report_frames(frames, count);
     if (state.options.flush != nullptr) {
         state.options.flush();
     }
