Tests: crowds of misbehaving clients against real daemons

Cause: nothing shows how much memory and how many descriptors a crowd of clients takes that sends too much, too slowly, too far ahead, or does not read (docs/design/accounts-and-overload.md, part 7).

Change: testing/hostile starts gypsumstep-edge with stand-ins on loopback, one crowd a test, run one at a time. Settings of the test: limits.memory-mb 64, limits.max-fds 400; bounds: VmHWM within the former, sockets within the latter less the 200 reserved for files, an ordinary request is answered afterwards. Crowds and bounds are fixed here, before the product changes.

--- a/testing/demo/start-set.sh
+++ b/testing/demo/start-set.sh
@@ -1,4 +1,4 @@
-# Sourced with $build and $base set: starts the platform stand-in, three backend
+# Sourced with $build and $base set, and $extra_settings (", KEY: VALUE ...") if wanted: starts the platform stand-in, three backend
 # stand-ins of one group and three daemons on loopback, makes the first server
 # primary, submits a configuration, and stops everything when the script ends.
 # Sets: work, started, daemons, backends, all_daemons, primary_index, first_daemon_index, ctl().
@@ -44,7 +44,7 @@
     "operators": {"address": "127.0.0.1", "port": $operators},
     "platform_url": "http://$platform",
     "mesh_keys": ["demo-mesh-key-demo-mesh-key-demo"],
-    "operator_keys": ["demo-operator-key-demo-operator-"]
+    "operator_keys": ["demo-operator-key-demo-operator-"]${extra_settings:-}
 }
 JSON
     [ "$i" = 0 ] && first_daemon_index=${#started[@]}
--- a/testing/soak/daemon_set.cpp
+++ b/testing/soak/daemon_set.cpp
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include <sys/prctl.h>
+#include <sys/resource.h>
 
 namespace gypsumstep::soak {
 namespace {
@@ -73,8 +74,9 @@
 } // namespace
 
 daemon_set::daemon_set(std::string program, std::size_t count, std::uint16_t first_port,
-                       std::uint16_t store_port)
-    : m_program{std::move(program)}, m_first_port{find_ports(first_port, count * ports_per_daemon)}
+                       std::uint16_t store_port, daemon_options options)
+    : m_program{std::move(program)}, m_options{std::move(options)},
+      m_first_port{find_ports(first_port, count * ports_per_daemon)}
 {
     for (std::size_t index = 0; index < count; ++index) {
         auto created = std::make_unique<daemon>();
@@ -83,7 +85,8 @@
             m_directory.filePath(QString::fromStdString(created->name)).toStdString();
         const auto port = client_port(index);
         write_file(created->settings_file,
-                   adapter::standins::settings_text(created->name, index, port, store_port));
+                   adapter::standins::settings_text(created->name, index, port, store_port) +
+                       m_options.extra_settings);
         daemon* const target = created.get();
         connect(&target->process, &QProcess::finished, this,
                 [this, target](int code, QProcess::ExitStatus status) {
@@ -116,7 +119,13 @@
     target.process.setStandardOutputFile(log, QIODevice::Append);
     target.process.setStandardErrorFile(log, QIODevice::Append);
     // The kernel kills the daemon when the soak process ends, so that none is left running.
-    target.process.setChildProcessModifier([] { (void)::prctl(PR_SET_PDEATHSIG, SIGKILL); });
+    target.process.setChildProcessModifier([limit = m_options.max_descriptors] {
+        (void)::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (limit != 0) {
+            const rlimit wanted{limit, limit};
+            (void)::setrlimit(RLIMIT_NOFILE, &wanted);
+        }
+    });
     target.process.start(QString::fromStdString(m_program),
                          {"--settings=" + QString::fromStdString(target.settings_file)});
 }
