Bound what clients' connections take of memory and descriptors

Cause: each connection had a bound of its own only, so that a crowd took a daemon to several times its memory; nothing limited how long START or a message may take, or how many connections are open, and the listener stopped accepting for good after a failed accept (Qt pauses it).

Change: packages/intake (no sockets, threads or clocks) counts what all connections hold, and decides which to stop reading from and which to close: newest unfinished input first, then unread answers, sessions with a statement in progress last. connection_guard in the edge runs it for the ports for clients, forwarded sessions and the relay, refuses connections above the descriptors less the 200 for files and 90 for the process, and counts and logs each closing.

Ruled out: closing a client that sends more than 16 statements ahead, as before: it now waits.

--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -26,6 +26,10 @@
 /// The process exits this long before the end of the grace period, when it would be killed.
 constexpr duration stop_margin = 250ms;
 
+/// Lowest bound on what all connections hold: enough for one message of the largest size and its
+/// copies, so that it is served on any VM.
+constexpr std::size_t min_connection_bytes = 4 * adapter::max_message_bytes;
+
 constexpr std::uint32_t status_ok = 200;
 constexpr std::uint32_t status_not_found = 404;
 constexpr std::uint32_t status_unavailable = 503;
@@ -58,9 +62,24 @@
     options.shutdown_grace = settings.shutdown_grace;
     options.old_primary_stops = settings.old_primary_stops;
     options.accounts_required = settings.accounts_required;
+    options.max_pipelined = settings.connections.statements_ahead;
     return options;
 }
 
+guard_limits limits_of(const adapter::connection_limits& settings)
+{
+    guard_limits limits;
+    const auto memory = static_cast<double>(settings.memory_mb << 20U);
+    limits.connections.max_bytes =
+        std::max(static_cast<std::size_t>(memory * settings.memory_share), min_connection_bytes);
+    limits.connections.statements_ahead = settings.statements_ahead;
+    limits.connections.start_timeout = settings.start_timeout;
+    limits.connections.message_timeout = settings.message_timeout;
+    limits.connections.unread_timeout = settings.unread_timeout;
+    limits.max_descriptors = settings.max_descriptors;
+    return limits;
+}
+
 logging::level level_of(proxy::importance importance)
 {
     return importance == proxy::importance::failure ? logging::level::warn : logging::level::info;
@@ -84,9 +103,11 @@
                    [this] { return m_store_view.subscribers(); },
                    [this] { return !m_store_view.reads_store(); },
                }},
-      m_client_listener{client_listener_events(), session_id{1}, adapter::line_sender::client},
+      m_guard{limits_of(m_settings.connections), m_registry},
+      m_client_listener{client_listener_events(), session_id{1}, adapter::line_sender::client,
+                        m_guard},
       m_forwarding_listener{forwarding_listener_events(), first_forwarded_session,
-                            adapter::line_sender::daemon},
+                            adapter::line_sender::daemon, m_guard},
       m_forwarder{m_client_listener, m_roster.homes(), seed_of(m_settings),
                   [this](const adapter::start_message& start) {
                       const directory::route* const route = m_proxy.routes().find(start.database);
@@ -111,6 +132,7 @@
       m_store_view{m_settings,
                    m_clock,
                    seed_of(m_settings),
+                   m_guard,
                    {
                        [this](directory::configuration configuration) {
                            m_proxy.on_configuration(std::move(configuration), boot_now());
@@ -135,8 +157,10 @@
                                return m_roster.homes().homes_of(service, limit).size();
                            },
                            [this] { run_actions(); }},
-      m_readiness_endpoint{[this](const std::string& path) { return readiness_response(path); }},
-      m_metrics_endpoint{[this](const std::string& /*path*/) { return metrics_response(); }},
+      m_readiness_endpoint{[this](const std::string& path) { return readiness_response(path); },
+                           m_guard},
+      m_metrics_endpoint{[this](const std::string& /*path*/) { return metrics_response(); },
+                         m_guard},
       m_signal_watch{{SIGTERM, SIGINT, SIGHUP}, [this](int number) { on_signal(number); }}
 {
     // This daemon acts as a home of no group until the other daemons are known.
@@ -388,6 +412,7 @@
 adapter::http_response edge_process::metrics_response()
 {
     m_metrics.set(m_proxy.gauges());
+    m_guard.update_metrics();
     return {status_ok, m_registry.expose(boot_now())};
 }
 
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "client_listener.h"
+#include "connection_guard.h"
 #include "daemon_roster.h"
 #include "edge_metrics.h"
 #include "http_server.h"
@@ -100,6 +101,7 @@
     store_clock m_clock;
     peer_link m_peer_link;
     daemon_roster m_roster;
+    connection_guard m_guard;
     client_listener m_client_listener;
     client_listener m_forwarding_listener; ///< accepts sessions that other daemons forward
     session_forwarder m_forwarder;
--- a/packages/edge/src/http_server.cpp
+++ b/packages/edge/src/http_server.cpp
@@ -19,11 +19,26 @@
 /// A connection that is idle for longer is closed.
 constexpr std::chrono::seconds idle_timeout{30};
 
+/// Largest header and body of a request, in bytes. Probes and scrapes send some hundred bytes.
+constexpr std::uint32_t max_header_bytes = 8192;
+constexpr std::uint64_t max_body_bytes = 1024;
+
+/// Largest size of the responses buffered for a client that does not read them, in bytes.
+constexpr qint64 max_unread_bytes = 1 << 20;
+
 using request_parser = http::request_parser<http::string_body>;
 
+std::unique_ptr<request_parser> make_parser()
+{
+    auto parser = std::make_unique<request_parser>();
+    parser->header_limit(max_header_bytes);
+    parser->body_limit(max_body_bytes);
+    return parser;
+}
+
 /// State of an HTTP client's connection.
 struct http_connection {
-    std::unique_ptr<request_parser> request = std::make_unique<request_parser>();
+    std::unique_ptr<request_parser> request = make_parser();
     std::string unparsed;
     QTimer idle_timer;
 };
@@ -42,7 +57,10 @@
 
 void read(QTcpSocket& socket, http_connection& connection, const http_server::handler& respond)
 {
-    connection.idle_timer.start(idle_timeout);
+    // Not started again with each byte: a request that takes longer than this is never complete.
+    if (connection.unparsed.empty()) {
+        connection.idle_timer.start(idle_timeout);
+    }
     const QByteArray bytes = socket.readAll();
     connection.unparsed.append(bytes.data(), static_cast<std::size_t>(bytes.size()));
     while (!connection.unparsed.empty()) {
@@ -63,9 +81,14 @@
         const bool keep_alive = connection.request->keep_alive();
         const std::string path{connection.request->get().target()};
         const std::string text = serialize(respond(path), keep_alive);
-        connection.request = std::make_unique<request_parser>();
+        connection.request = make_parser();
+        connection.idle_timer.start(idle_timeout);
         socket.write(text.data(), static_cast<qint64>(text.size()));
         socket.flush();
+        if (socket.bytesToWrite() > max_unread_bytes) {
+            socket.abort();
+            return;
+        }
         if (!keep_alive) {
             socket.disconnectFromHost();
             return;
@@ -75,8 +98,10 @@
 
 } // namespace
 
-http_server::http_server(handler respond) : m_respond{std::move(respond)}
+http_server::http_server(handler respond, connection_guard& guard)
+    : m_respond{std::move(respond)}, m_guard{guard}
 {
+    m_guard.watch_accept_errors(m_server);
     connect(&m_server, &QTcpServer::newConnection, this, [this] { accept(); });
 }
 
@@ -88,6 +113,12 @@
 void http_server::accept()
 {
     while (QTcpSocket* const socket = m_server.nextPendingConnection()) {
+        if (!m_guard.has_room(*socket, connection_port::daemons)) {
+            socket->abort();
+            socket->deleteLater();
+            continue;
+        }
+        socket->setReadBufferSize(read_buffer_bytes);
         const auto connection = std::make_shared<http_connection>();
         connection->idle_timer.setSingleShot(true);
         connection->idle_timer.start(idle_timeout);
--- a/packages/edge/src/http_server.h
+++ b/packages/edge/src/http_server.h
@@ -2,6 +2,8 @@
 /// HTTP server for short requests: readiness and metrics.
 #pragma once
 
+#include "connection_guard.h"
+
 #include "gypsumstep/adapter/store_calls.h"
 
 #include <QTcpServer>
@@ -17,7 +19,8 @@
     /// Returns the response for a path.
     using handler = std::function<adapter::http_response(const std::string& path)>;
 
-    explicit http_server(handler respond);
+    /// \param guard bounds what the connections hold; outlives the server
+    http_server(handler respond, connection_guard& guard);
 
     /// Starts to listen; false if the address cannot be used.
     [[nodiscard]] bool listen(const std::string& host, std::uint16_t port);
@@ -26,6 +29,7 @@
     void accept();
 
     handler m_respond;
+    connection_guard& m_guard;
     QTcpServer m_server;
 };
 
--- a/packages/edge/src/relay_client.cpp
+++ b/packages/edge/src/relay_client.cpp
@@ -30,7 +30,7 @@
 {
     unsubscribe();
     m_reader = reader.name;
-    m_decoder = {};
+    m_decoder = relay_decoder{};
     m_socket = new QTcpSocket{this};
     connect(m_socket, &QTcpSocket::connected, this, [this] { on_connected(); });
     connect(m_socket, &QTcpSocket::readyRead, this, [this] { read(); });
--- a/packages/edge/src/relay_codec.cpp
+++ b/packages/edge/src/relay_codec.cpp
@@ -152,7 +152,7 @@
         return std::optional<relay_message>{};
     }
     const auto length = static_cast<qsizetype>(qFromBigEndian<quint32>(m_buffer.constData()));
-    if (length > max_relay_message_bytes) {
+    if (length > m_max_bytes) {
         return error{error_code::invalid_argument, "a message is too long"};
     }
     if (m_buffer.size() < length_bytes + length) {
--- a/packages/edge/src/relay_codec.h
+++ b/packages/edge/src/relay_codec.h
@@ -12,6 +12,7 @@
 
 #include <QByteArray>
 
+#include <cstddef>
 #include <optional>
 #include <variant>
 
@@ -62,12 +63,21 @@
 /// Largest encoded message, in bytes. A list of 6,000 daemons or servers has half of it.
 inline constexpr qsizetype max_relay_message_bytes = 8 << 20;
 
+/// Largest message that a subscriber sends, in bytes: its hello holds the name and the address of
+/// one daemon.
+inline constexpr qsizetype max_subscriber_message_bytes = 64 << 10;
+
 /// Encodes a message as a length of four bytes, most significant first, and CBOR.
 [[nodiscard]] QByteArray encode_relay_message(const relay_message& message);
 
 /// Decodes messages from a stream of bytes.
 class relay_decoder {
 public:
+    /// \param max_bytes largest message that the peer may send
+    explicit relay_decoder(qsizetype max_bytes = max_relay_message_bytes) : m_max_bytes{max_bytes}
+    {
+    }
+
     void feed(const QByteArray& bytes) { m_buffer += bytes; }
 
     /// Returns the next message, or nothing if it is not complete yet.
@@ -75,7 +85,14 @@
     ///     then
     [[nodiscard]] result<std::optional<relay_message>> next();
 
+    /// Bytes received and not decoded yet.
+    [[nodiscard]] std::size_t held_bytes() const
+    {
+        return static_cast<std::size_t>(m_buffer.size());
+    }
+
 private:
+    qsizetype m_max_bytes;
     QByteArray m_buffer;
 };
 
--- a/packages/edge/src/relay_server.cpp
+++ b/packages/edge/src/relay_server.cpp
@@ -29,8 +29,10 @@
 
 } // namespace
 
-relay_server::relay_server(relay_server_events events) : m_events{std::move(events)}
+relay_server::relay_server(relay_server_events events, connection_guard& guard)
+    : m_events{std::move(events)}, m_guard{guard}
 {
+    m_guard.watch_accept_errors(m_server);
     connect(&m_server, &QTcpServer::newConnection, this, [this] { accept(); });
     connect(&m_status_timer, &QTimer::timeout, this, [this] { send_status(); });
 }
@@ -55,9 +57,19 @@
 {
     while (QTcpSocket* const socket = m_server.nextPendingConnection()) {
         socket->setParent(this);
+        if (!m_guard.has_room(*socket, connection_port::daemons)) {
+            socket->abort();
+            socket->deleteLater();
+            continue;
+        }
+        socket->setReadBufferSize(read_buffer_bytes);
         set_socket_options(*socket, subscriber_keepalive);
         auto accepted = std::make_unique<subscription>();
         accepted->socket = socket;
+        accepted->guarded = m_guard.add([this, socket](const char* /*cause*/) {
+            remove(socket);
+            socket->abort();
+        });
         m_subscriptions.emplace(socket, std::move(accepted));
         connect(socket, &QTcpSocket::readyRead, this, [this, socket] { read(socket); });
         connect(socket, &QTcpSocket::disconnected, this, [this, socket] { remove(socket); });
@@ -76,6 +88,7 @@
     if (found == m_subscriptions.end()) {
         return;
     }
+    m_guard.remove(found->second->guarded);
     m_subscriptions.erase(found);
     socket->disconnect(this);
     connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
@@ -90,15 +103,18 @@
 
 void relay_server::read(QTcpSocket* socket)
 {
+    m_guard.enforce();
     auto found = m_subscriptions.find(socket);
     if (found == m_subscriptions.end()) {
         return;
     }
+    bool completed = false;
     found->second->decoder.feed(socket->readAll());
     // Handling a message may end the subscription.
     while ((found = m_subscriptions.find(socket)) != m_subscriptions.end()) {
         const auto message = found->second->decoder.next();
         if (message.has_error()) {
+            m_guard.count("message_malformed");
             log().warn("closed a subscriber's connection",
                        {{"cause", message.error().message},
                         {"address", socket->peerAddress().toString().toStdString()}});
@@ -107,8 +123,11 @@
             return;
         }
         if (!message.value()) {
+            m_guard.set_input(found->second->guarded, found->second->decoder.held_bytes(),
+                              completed);
             return;
         }
+        completed = true;
         on_message(*found->second, *message.value());
     }
 }
@@ -117,6 +136,7 @@
 {
     if (const auto* hello = std::get_if<relay_hello>(&message)) {
         subscriber.daemon = hello->daemon;
+        m_guard.set_started(subscriber.guarded);
         send(subscriber, encode_relay_message(m_events.status()));
         for (const store_subject subject : {store_subject::configuration, store_subject::daemons}) {
             if (const auto& newest = m_newest.at(index_of(subject))) {
@@ -193,6 +213,7 @@
     socket->write(bytes);
     socket->flush();
     if (socket->bytesToWrite() > max_unread_bytes) {
+        m_guard.count("answers_too_long");
         log().warn("closed a subscriber's connection", {{"cause", "it does not read"}});
         socket->abort();
     }
--- a/packages/edge/src/relay_server.h
+++ b/packages/edge/src/relay_server.h
@@ -2,6 +2,7 @@
 /// Passes the store's contents on to subscribed daemons.
 #pragma once
 
+#include "connection_guard.h"
 #include "relay_codec.h"
 
 #include <QObject>
@@ -31,7 +32,8 @@
 /// store: each subject whole when it has changed, and otherwise that it has not.
 class relay_server : public QObject {
 public:
-    explicit relay_server(relay_server_events events);
+    /// \param guard bounds what the connections hold; outlives the server
+    relay_server(relay_server_events events, connection_guard& guard);
 
     /// False if the address cannot be used.
     [[nodiscard]] bool listen(const std::string& host, std::uint16_t port);
@@ -52,7 +54,8 @@
 private:
     struct subscription {
         QTcpSocket* socket{nullptr};
-        relay_decoder decoder;
+        relay_decoder decoder{max_subscriber_message_bytes};
+        intake::connection_id guarded;
         std::optional<homes::daemon_entry> daemon; ///< empty until its hello
         proxy::listing_urgency servers{proxy::listing_urgency::none};
         bool has_servers{false}; ///< the newest registrations were sent
@@ -66,6 +69,7 @@
     void send_status();
 
     relay_server_events m_events;
+    connection_guard& m_guard;
     QTcpServer m_server;
     QTimer m_status_timer;
     std::map<QTcpSocket*, std::unique_ptr<subscription>> m_subscriptions;
--- a/packages/edge/src/run_edge.cpp
+++ b/packages/edge/src/run_edge.cpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <utility>
 
+#include <malloc.h>
 #include <unistd.h>
 
 namespace gypsumstep::edge {
@@ -23,6 +24,19 @@
 constexpr int exit_invalid_settings = 2;
 constexpr int exit_cannot_listen = 3;
 
+/// Blocks from this size on, in bytes, are returned to the system when they are freed. Without a
+/// fixed size the C library raises it with the first long message, and the memory of a crowd's
+/// messages stays with the process.
+constexpr int returned_block_bytes = 64 << 10;
+
+void return_large_blocks()
+{
+#ifdef __GLIBC__
+    (void)::mallopt(M_MMAP_THRESHOLD, returned_block_bytes);
+    (void)::mallopt(M_TRIM_THRESHOLD, 4 * returned_block_bytes);
+#endif
+}
+
 bool start_logging(line_logger& output)
 {
     logging::options options;
@@ -49,6 +63,7 @@
     if (check_only) {
         return 0;
     }
+    return_large_blocks();
     line_logger output{STDOUT_FILENO};
     if (!start_logging(output)) {
         return exit_invalid_settings;
--- a/packages/edge/src/server_connections.cpp
+++ b/packages/edge/src/server_connections.cpp
@@ -15,6 +15,10 @@
 /// timeout.
 constexpr keepalive_settings server_keepalive{1, 1, 2, 2500};
 
+/// Largest size of the answers that Qt buffers for a connection, in bytes: a large answer is held
+/// once, by the decoder, and not twice.
+constexpr qint64 server_buffer_bytes = 64LL << 10;
+
 } // namespace
 
 server_connections::server_connections(std::string daemon_name, server_events events)
@@ -26,6 +30,7 @@
 {
     auto opened = std::make_unique<connection>();
     auto* const socket = new QTcpSocket{this};
+    socket->setReadBufferSize(server_buffer_bytes);
     opened->socket = socket;
     m_connections.emplace(request.connection, std::move(opened));
     const proxy::server_connection_id id = request.connection;
--- a/packages/edge/src/session_forwarder.cpp
+++ b/packages/edge/src/session_forwarder.cpp
@@ -91,6 +91,15 @@
         }
     });
     socket->connectToHost(QHostAddress{QString::fromStdString(home.host)}, home.port);
+    if (!m_clients.guard().has_room_for_own(*socket)) {
+        log().warn("refused a session: no descriptor is left for its home",
+                   {{"service", session.request.service}});
+        statement::answer answer;
+        answer.error = statement::error_class::busy;
+        answer.error_text = "too many connections to this daemon; retry";
+        m_clients.send_start_answer(id, answer);
+        end_session(id);
+    }
 }
 
 void session_forwarder::on_client_line(session_id id, const std::string& line)
@@ -146,14 +155,18 @@
     found->second->splitter.feed({bytes.data(), static_cast<std::size_t>(bytes.size())});
     const bool was_waiting = found->second->tracker.is_waiting();
     std::string client_lines;
+    std::size_t answers = 0;
     bool ended = false;
     while (!ended) {
         const auto line = found->second->splitter.next();
         if (line.has_error() || !line.value()) {
             break;
         }
+        const bool ends_answer =
+            found->second->started && adapter::final_state(*line.value()).has_value();
         ended = on_home_line(id, *found->second, *line.value());
         if (!ended) {
+            answers += ends_answer ? 1U : 0U;
             client_lines += *line.value() + "\r\n";
         }
     }
@@ -161,7 +174,7 @@
         return;
     }
     found->second->last_used = boot_now();
-    m_clients.write(id, client_lines);
+    m_clients.write(id, client_lines, answers);
     // A client sends its next statement after an answer, so that none is on its way now.
     found = m_sessions.find(id);
     if (was_waiting && found != m_sessions.end() && may_close(*found->second, boot_now())) {
--- a/packages/edge/src/store_view.cpp
+++ b/packages/edge/src/store_view.cpp
@@ -75,7 +75,7 @@
 } // namespace
 
 store_view::store_view(const adapter::node_settings& settings, store_clock& clock,
-                       std::uint64_t seed, store_events events)
+                       std::uint64_t seed, connection_guard& guard, store_events events)
     : m_self{entry_of(settings)}, m_is_bootstrap{settings.is_bootstrap}, m_clock{clock},
       m_events{std::move(events)}, m_reader{settings.store, seed,
                                             [this](store_subject subject,
@@ -83,11 +83,12 @@
                                                 on_rows(subject, rows);
                                             }},
       m_relay_server{{
-          [this] { update_intervals(); },
-          [this] {
-              return relay_status{failing_for(boot_now()), m_clock.now()};
-          },
-      }},
+                         [this] { update_intervals(); },
+                         [this] {
+                             return relay_status{failing_for(boot_now()), m_clock.now()};
+                         },
+                     },
+                     guard},
       m_relay_client{m_self,
                      {
                          [this](const std::string& reader, const relay_message& message) {
--- a/packages/edge/src/store_view.h
+++ b/packages/edge/src/store_view.h
@@ -40,8 +40,9 @@
 /// way it came.
 class store_view : public QObject {
 public:
+    /// \param guard bounds what the subscribers' connections hold; outlives the view
     store_view(const adapter::node_settings& settings, store_clock& clock, std::uint64_t seed,
-               store_events events);
+               connection_guard& guard, store_events events);
 
     /// Listens for subscribers and starts to follow the store; false if the address cannot be
     /// used.
--- a/packages/edge/tests/test_http_client.cpp
+++ b/packages/edge/tests/test_http_client.cpp
@@ -124,9 +124,13 @@
 TEST_CASE("the server sends the responses of its handler")
 {
     application();
-    http_server server{[](const std::string& path) {
-        return adapter::http_response{path == "/readiness" ? 200U : 404U, "text\n"};
-    }};
+    metrics::registry registry;
+    connection_guard guard{{}, registry};
+    http_server server{
+        [](const std::string& path) {
+            return adapter::http_response{path == "/readiness" ? 200U : 404U, "text\n"};
+        },
+        guard};
     constexpr std::uint16_t port = 28'431;
     REQUIRE(server.listen("127.0.0.1", port));
     http_client client{"127.0.0.1", port};
--- a/packages/edge/tests/test_session_forwarder.cpp
+++ b/packages/edge/tests/test_session_forwarder.cpp
@@ -46,7 +46,9 @@
     fake_home home;
     homes::home_table table{"self", "b", {}};
     bool authorized{true};
-    client_listener clients{events(), session_id{1}, adapter::line_sender::client};
+    metrics::registry registry;
+    connection_guard guard{{}, registry};
+    client_listener clients{events(), session_id{1}, adapter::line_sender::client, guard};
     session_forwarder forwarder{clients, table, 1,
                                 [this](const adapter::start_message&) { return authorized; }};
     QTcpSocket client;
--- a/packages/edge/tests/test_store_view.cpp
+++ b/packages/edge/tests/test_store_view.cpp
@@ -49,6 +49,8 @@
     std::vector<std::vector<directory::server_entry>> lists;
     std::size_t daemon_lists{0};
     proxy::listing_urgency urgency{proxy::listing_urgency::urgent};
+    metrics::registry registry;
+    connection_guard guard{{}, registry};
     std::unique_ptr<store_view> view;
 
     daemon(const std::string& name, std::uint16_t store_port, std::uint32_t capacity)
@@ -71,7 +73,7 @@
     void start()
     {
         view = std::make_unique<store_view>(
-            settings, clock, 1,
+            settings, clock, 1, guard,
             store_events{
                 [this](directory::configuration next) {
                     configurations.push_back(std::move(next));
