Bound what the clients of gypsumstepd take; count what sessions keep

Cause: gypsumstepd's front had only the bound of one connection (16 MiB), and no time limit; prepared statements and session values grew without bound in both daemons.

Change: gypsumstepd's client listener uses packages/intake: a bound on the bytes of all clients (four messages of the largest size unless set), time limits for the startup message, for a message and for unread answers, a counter for each cause and at most one log line a second. Input is buffered 64 KiB at a time by Qt. In both daemons prepared statements and session values count in the ledger; idle sessions that keep much are closed before those with a statement in progress.

--- a/packages/daemon/src/client_listener.h
+++ b/packages/daemon/src/client_listener.h
@@ -12,10 +12,12 @@
 
 #include <QObject>
 #include <QTcpServer>
+#include <QTimer>
 
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace gypsumstep::daemon {
 
@@ -42,8 +44,12 @@
     [[nodiscard]] const routing::group_view* find_group(const std::string& name) override;
     [[nodiscard]] bool send(client_session& sender, execute_request request) override;
     void release(const release_request& request) override;
+    [[nodiscard]] intake::ledger& intake() override { return m_intake; }
+    void enforce_intake() override;
 
 private:
+    /// Closes the sessions of \p verdicts.
+    void drop(const std::vector<intake::verdict>& verdicts);
     void accept();
     void remove(session_id id);
     void deliver(execute_answer answer);
@@ -58,6 +64,10 @@
     };
 
     settings::daemon_settings m_settings;
+    intake::ledger m_intake;
+    QTimer m_intake_timer;
+    time_point m_drop_logged_at{};
+    std::uint64_t m_unlogged_drops{0};
     listener_home_channels& m_channels;
     QTcpServer m_server;
     random_source m_random;
--- a/packages/daemon/src/client_messages.cpp
+++ b/packages/daemon/src/client_messages.cpp
@@ -37,6 +37,7 @@
         }
     }
     m_started = true;
+    m_host.intake().set_started(m_id);
     m_splitter.end_startup_phase();
     write(pgwire::authentication_ok());
     for (const auto& [name, value] : {std::pair{"server_version", "15.0"},
@@ -80,7 +81,7 @@
 
 void client_session::handle_one(const pgwire::parse& message)
 {
-    m_statements[message.statement] = {message.sql, message.parameter_types};
+    set_statement(message.statement, {message.sql, message.parameter_types});
     write(pgwire::parse_complete());
 }
 
@@ -99,7 +100,7 @@
     work.parameters = message.parameters;
     work.binary_results = !message.result_formats.empty() && message.result_formats.front() == 1;
     work.with_description = false;
-    m_portals[message.portal] = {std::move(work), false};
+    set_portal(message.portal, std::move(work));
     write(pgwire::bind_complete());
 }
 
@@ -107,6 +108,9 @@
 {
     if (message.kind == 'P') {
         // RowDescription is sent along with the rows, which saves a round trip to the server.
+        if (!m_portals.contains(message.name)) {
+            set_portal(message.name, {});
+        }
         m_portals[message.name].work.with_description = true;
         m_portals[message.name].described = true;
         return;
@@ -139,10 +143,10 @@
 void client_session::handle_one(const pgwire::close& message)
 {
     if (message.kind == 'S') {
-        m_statements.erase(message.name);
+        erase_statement(message.name);
     }
     else {
-        m_portals.erase(message.name);
+        erase_portal(message.name);
     }
     write(pgwire::close_complete());
 }
--- a/packages/daemon/src/client_session.cpp
+++ b/packages/daemon/src/client_session.cpp
@@ -4,6 +4,8 @@
 
 #include <QTimer>
 
+#include <utility>
+
 namespace gypsumstep::daemon {
 namespace {
 
@@ -11,18 +13,44 @@
 constexpr auto route_retry = std::chrono::milliseconds{20};
 constexpr const char* token_parameter = "gypsumstep.session";
 
+/// Largest size of the input that Qt buffers for a client, in bytes.
+constexpr qint64 read_buffer_bytes = 64LL << 10;
+
+/// What an entry of a map takes beside its text, in bytes.
+constexpr std::size_t entry_bytes = 128;
+
+/// A statement is held by its session and once more in the channel to the home.
+constexpr std::size_t copies_of_statement = 2;
+
+std::size_t size_of(const backend::work& work)
+{
+    std::size_t bytes = work.sql.size();
+    for (const auto& parameter : work.parameters) {
+        bytes += sizeof parameter + (parameter ? parameter->size() : 0);
+    }
+    return bytes;
+}
+
 } // namespace
 
-client_session::client_session(QTcpSocket* socket, session_host& host,
+client_session::client_session(QTcpSocket* socket, session_host& host, intake::connection_id id,
                                std::size_t max_message_bytes, std::int32_t process_id,
                                std::int32_t secret, std::function<void()> on_closed)
-    : m_socket{socket}, m_host{host}, m_on_closed{std::move(on_closed)},
+    : m_socket{socket}, m_host{host}, m_id{id}, m_on_closed{std::move(on_closed)},
       m_splitter{max_message_bytes}, m_process_id{process_id}, m_secret{secret}
 {
     m_socket->setParent(this);
     m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     // Limits how much a client can send before it has read its answers.
-    m_socket->setReadBufferSize(static_cast<qint64>(max_message_bytes));
+    m_socket->setReadBufferSize(read_buffer_bytes);
+    connect(m_socket, &QTcpSocket::bytesWritten, this, [this] {
+        m_host.intake().set_unread(m_id, static_cast<std::size_t>(m_socket->bytesToWrite()),
+                                   steady_now());
+        if (m_socket->bytesAvailable() > 0 || m_splitter.held_bytes() > 0) {
+            // Deferred, since this may run while a message is handled.
+            QMetaObject::invokeMethod(this, &client_session::read, Qt::QueuedConnection);
+        }
+    });
     connect(m_socket, &QTcpSocket::readyRead, this, &client_session::read);
     connect(m_socket, &QTcpSocket::disconnected, this, [this] { m_on_closed(); });
 }
@@ -45,17 +73,24 @@
 
 void client_session::read()
 {
-    if (m_working) {
+    m_host.enforce_intake();
+    if (m_working || m_socket->state() != QAbstractSocket::ConnectedState) {
         return;
     }
-    const QByteArray bytes = m_socket->readAll();
-    m_splitter.feed({bytes.data(), static_cast<std::size_t>(bytes.size())});
     resume();
 }
 
 void client_session::resume()
 {
-    while (!m_working && m_socket->state() == QAbstractSocket::ConnectedState) {
+    handle_messages();
+    m_host.intake().set_input(m_id, m_splitter.held_bytes(),
+                              std::exchange(m_completed_message, false), steady_now());
+}
+
+void client_session::handle_messages()
+{
+    while (!m_working && m_socket->state() == QAbstractSocket::ConnectedState &&
+           m_host.intake().may_read(m_id)) {
         const auto next = m_splitter.next();
         if (next.has_error()) {
             send_fatal("08P01", next.error().message);
@@ -69,6 +104,7 @@
             m_splitter.feed({bytes.data(), static_cast<std::size_t>(bytes.size())});
             continue;
         }
+        m_completed_message = true;
         const auto message = pgwire::decode_frontend(*next.value());
         if (message.has_error()) {
             send_fatal("08P01", message.error().message);
@@ -78,9 +114,50 @@
     }
 }
 
+void client_session::set_statement(const std::string& name, prepared_statement statement)
+{
+    erase_statement(name);
+    const std::size_t bytes = entry_bytes + name.size() + statement.sql.size();
+    m_statements[name] = std::move(statement);
+    change_kept(m_kept + bytes);
+}
+
+void client_session::erase_statement(const std::string& name)
+{
+    if (const auto found = m_statements.find(name); found != m_statements.end()) {
+        const std::size_t bytes = entry_bytes + name.size() + found->second.sql.size();
+        m_statements.erase(found);
+        change_kept(m_kept - bytes);
+    }
+}
+
+void client_session::set_portal(const std::string& name, backend::work work)
+{
+    erase_portal(name);
+    const std::size_t bytes = entry_bytes + name.size() + size_of(work);
+    m_portals[name] = {std::move(work), false};
+    change_kept(m_kept + bytes);
+}
+
+void client_session::erase_portal(const std::string& name)
+{
+    if (const auto found = m_portals.find(name); found != m_portals.end()) {
+        const std::size_t bytes = entry_bytes + name.size() + size_of(found->second.work);
+        m_portals.erase(found);
+        change_kept(m_kept - bytes);
+    }
+}
+
+void client_session::change_kept(std::size_t bytes)
+{
+    m_kept = bytes;
+    m_host.intake().set_kept(m_id, m_kept);
+}
+
 void client_session::begin_work(backend::work work, bool extended)
 {
     m_working = true;
+    m_host.intake().add_statement(m_id, copies_of_statement * size_of(work));
     m_extended = extended;
     m_was_behind = false;
     m_work = std::move(work);
@@ -195,6 +272,7 @@
 void client_session::finish_work(const std::string& messages, bool failed)
 {
     m_working = false;
+    m_host.intake().remove_statement(m_id, steady_now());
     write(messages);
     if (failed && m_extended) {
         m_skip_to_sync = true;
@@ -248,6 +326,8 @@
 void client_session::write(const std::string& bytes)
 {
     m_socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+    m_host.intake().set_unread(m_id, static_cast<std::size_t>(m_socket->bytesToWrite()),
+                               steady_now());
 }
 
 } // namespace gypsumstep::daemon
--- a/packages/daemon/src/client_session.h
+++ b/packages/daemon/src/client_session.h
@@ -5,6 +5,7 @@
 #include "messages.h"
 #include "refusal.h"
 
+#include "gypsumstep/intake/ledger.h"
 #include "gypsumstep/pgwire/backend.h"
 #include "gypsumstep/pgwire/frontend.h"
 #include "gypsumstep/session/statement_class.h"
@@ -38,6 +39,12 @@
 
     /// Ends the binding of a session that is being destroyed.
     virtual void release(const release_request& request) = 0;
+
+    /// What all sessions hold; sessions report what they do.
+    [[nodiscard]] virtual intake::ledger& intake() = 0;
+
+    /// Closes sessions if all together hold too much; may close the caller's connection.
+    virtual void enforce_intake() = 0;
 };
 
 /// Speaks PostgreSQL protocol 3.0 with one client and runs one statement at a time.
@@ -45,8 +52,10 @@
 public:
     /// Takes ownership of \p socket.
     /// \param process_id and \p secret identify this session in a CancelRequest
-    client_session(QTcpSocket* socket, session_host& host, std::size_t max_message_bytes,
-                   std::int32_t process_id, std::int32_t secret, std::function<void()> on_closed);
+    /// \param id of the session in the host's ledger
+    client_session(QTcpSocket* socket, session_host& host, intake::connection_id id,
+                   std::size_t max_message_bytes, std::int32_t process_id, std::int32_t secret,
+                   std::function<void()> on_closed);
     ~client_session() override;
     client_session(const client_session&) = delete;
     client_session& operator=(const client_session&) = delete;
@@ -54,6 +63,9 @@
     /// The name of the database group that the client connected to.
     [[nodiscard]] const std::string& group() const { return m_group; }
 
+    /// Closes the connection at once.
+    void abort() { m_socket->abort(); }
+
     /// Ends the session as soon as no statement and no transaction is open.
     void begin_shutdown();
 
@@ -72,6 +84,13 @@
 
     void read();
     void resume();
+    void handle_messages();
+    void set_statement(const std::string& name, prepared_statement statement);
+    void erase_statement(const std::string& name);
+    void set_portal(const std::string& name, backend::work work);
+    void erase_portal(const std::string& name);
+    /// Sets what the session keeps between messages, in bytes.
+    void change_kept(std::size_t bytes);
     void handle(const pgwire::frontend_message& message);
     void handle_one(const pgwire::startup& message);
     void handle_one(const pgwire::ssl_request& message);
@@ -104,6 +123,9 @@
 
     QTcpSocket* m_socket;
     session_host& m_host;
+    intake::connection_id m_id;
+    std::size_t m_kept{0};           ///< bytes of prepared statements and portals
+    bool m_completed_message{false}; ///< since the last report to the ledger
     std::function<void()> m_on_closed;
     pgwire::message_splitter m_splitter;
     std::deque<pgwire::frontend_message> m_inbox;
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -14,6 +14,11 @@
                                               "Statements answered by a replica")},
       m_sessions{registry.make_gauge("gypsumstep_sessions", "Open sessions of callers")}
 {
+    for (std::size_t i = 0; i < intake::closing_count; ++i) {
+        m_closings[i] = &registry.make_counter(
+            "gypsumstep_connections_closed_total", "Connections closed to protect the process",
+            {{"cause", intake::to_string(static_cast<intake::closing>(i))}});
+    }
     for (const rank level : all_ranks) {
         const std::string name = rank_names[index_of(level)];
         m_latency[index_of(level)] = &registry.make_summary(
--- a/packages/daemon/src/daemon_metrics.h
+++ b/packages/daemon/src/daemon_metrics.h
@@ -4,6 +4,7 @@
 
 #include "messages.h"
 
+#include "gypsumstep/intake/ledger.h"
 #include "gypsumstep/metrics/registry.h"
 
 #include <array>
@@ -20,6 +21,9 @@
     void count(rank level, execute_outcome outcome, bool on_replica, duration latency,
                time_point now);
 
+    /// Counts a session that was closed to protect the process.
+    void count(intake::closing cause) { m_closings.at(static_cast<std::size_t>(cause))->add(); }
+
     /// Number of open sessions.
     metrics::gauge& sessions() { return m_sessions; }
 
@@ -28,6 +32,7 @@
 
     std::array<metrics::summary*, rank_count> m_latency{};
     std::array<std::array<metrics::counter*, outcome_count>, rank_count> m_outcomes{};
+    std::array<metrics::counter*, intake::closing_count> m_closings{};
     metrics::counter& m_replica_answers;
     metrics::gauge& m_sessions;
 };
--- a/packages/edge/src/client_listener.cpp
+++ b/packages/edge/src/client_listener.cpp
@@ -223,6 +223,13 @@
     }
 }
 
+void client_listener::set_kept(session_id id, std::size_t bytes)
+{
+    if (const auto found = m_connections.find(id); found != m_connections.end()) {
+        m_guard.set_kept(found->second->guarded, bytes);
+    }
+}
+
 void client_listener::send_answer(session_id id, const statement::answer& answer)
 {
     write(id, adapter::encode_answer(answer), 1);
--- a/packages/edge/src/client_listener.h
+++ b/packages/edge/src/client_listener.h
@@ -46,6 +46,9 @@
     /// \param answers number of statements whose answers end in them
     void write(session_id id, const std::string& bytes, std::size_t answers = 0);
 
+    /// Sets the size of what the session keeps between its statements.
+    void set_kept(session_id id, std::size_t bytes);
+
     [[nodiscard]] connection_guard& guard() { return m_guard; }
 
     /// Passes each further line of the session to \p on_line instead of decoding it and
--- a/packages/edge/src/connection_guard.cpp
+++ b/packages/edge/src/connection_guard.cpp
@@ -136,6 +136,12 @@
     schedule();
 }
 
+void connection_guard::set_kept(intake::connection_id id, std::size_t bytes)
+{
+    m_ledger.set_kept(id, bytes);
+    schedule();
+}
+
 void connection_guard::schedule()
 {
     if (m_ledger.is_watching() && !m_timer.isActive()) {
--- a/packages/edge/src/connection_guard.h
+++ b/packages/edge/src/connection_guard.h
@@ -63,6 +63,7 @@
     void add_statement(intake::connection_id id, std::size_t bytes);
     void remove_statement(intake::connection_id id);
     void set_unread(intake::connection_id id, std::size_t bytes);
+    void set_kept(intake::connection_id id, std::size_t bytes);
     [[nodiscard]] bool may_read(intake::connection_id id) const { return m_ledger.may_read(id); }
 
     /// Whether all connections together hold more than they may.
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -188,6 +188,7 @@
     events.statement_received = [this](session_id id, statement::statement request) {
         m_proxy.on_client_statement(id, std::move(request), boot_now());
         run_actions();
+        listener_of(id).set_kept(id, m_proxy.session_state_bytes(id));
     };
     events.closed = [this](session_id id) { on_client_closed(id); };
     events.malformed = [](session_id id, const std::string& cause) {
--- a/packages/intake/include/gypsumstep/intake/ledger.h
+++ b/packages/intake/include/gypsumstep/intake/ledger.h
@@ -93,6 +93,9 @@
     /// Sets the size of the answers that the client has not accepted yet.
     void set_unread(connection_id id, std::size_t bytes, time_point now);
 
+    /// Sets the size of what a session keeps between its statements, such as prepared statements.
+    void set_kept(connection_id id, std::size_t bytes);
+
     /// Returns whether to read from a connection. While all connections hold more than half of
     /// the bound, a client is not read from until its statement is answered.
     [[nodiscard]] bool may_read(connection_id id) const;
@@ -102,7 +105,8 @@
 
     /// Returns the connections to close so that the others are within the bound; empty unless
     /// is_over(). First those with unfinished input, newest message first; then those with unread
-    /// answers, largest first; last those with a statement in progress, largest first.
+    /// answers or kept state, largest first; last those with a statement in progress, largest
+    /// first.
     [[nodiscard]] std::vector<verdict> over_bound() const;
 
     /// Returns the connections whose time limits have passed.
@@ -124,12 +128,13 @@
         std::size_t statements{0};       ///< bytes
         std::vector<std::size_t> queued; ///< sizes of the unanswered statements, oldest first
         std::size_t unread{0};
+        std::size_t kept{0};
         bool started{false};
         time_point opened_at{};
         time_point message_since{}; ///< first byte of the unfinished message
         time_point unread_since{};  ///< when the client last accepted bytes of its answers
 
-        [[nodiscard]] std::size_t held() const { return input + statements + unread; }
+        [[nodiscard]] std::size_t held() const { return input + statements + unread + kept; }
         [[nodiscard]] bool is_busy() const { return !queued.empty(); }
     };
 
--- a/packages/intake/src/ledger.cpp
+++ b/packages/intake/src/ledger.cpp
@@ -117,6 +117,14 @@
     watch(id, member);
 }
 
+void ledger::set_kept(connection_id id, std::size_t bytes)
+{
+    if (const auto found = m_connections.find(id); found != m_connections.end()) {
+        m_held = m_held - found->second.kept + bytes;
+        found->second.kept = bytes;
+    }
+}
+
 bool ledger::may_read(connection_id id) const
 {
     const auto found = m_connections.find(id);
--- a/packages/intake/tests/test_ledger.cpp
+++ b/packages/intake/tests/test_ledger.cpp
@@ -142,3 +142,14 @@
     CHECK_FALSE(all.oldest_unstarted(begin + 1500ms, 1s));
     CHECK(all.oldest_unstarted(begin + 4s, 1s) == connection_id{2});
 }
+
+TEST_CASE("what sessions keep counts, so that prepared statements cannot fill the memory")
+{
+    ledger all = with_started(2);
+    all.set_kept(connection_id{1}, 700'000);
+    all.set_kept(connection_id{2}, 400'000);
+    CHECK(all.over_bound() == std::vector<verdict>{{connection_id{1}, closing::memory}});
+    all.set_kept(connection_id{1}, 0);
+    CHECK(all.held_bytes() == 400'000);
+    CHECK_FALSE(all.is_watching());
+}
--- a/packages/pgwire/include/gypsumstep/pgwire/splitter.h
+++ b/packages/pgwire/include/gypsumstep/pgwire/splitter.h
@@ -34,6 +34,12 @@
     ///         the stream cannot be read any further then
     [[nodiscard]] result<std::optional<raw_message>> next();
 
+    /// Bytes of memory in use for what was received and not returned yet; 0 if nothing is left.
+    [[nodiscard]] std::size_t held_bytes() const
+    {
+        return m_buffer.size() == m_read ? 0 : m_buffer.capacity();
+    }
+
     /// Messages carry a type byte from now on.
     void end_startup_phase() { m_startup = false; }
 
--- a/packages/pgwire/src/splitter.cpp
+++ b/packages/pgwire/src/splitter.cpp
@@ -35,6 +35,10 @@
     if (m_read == m_buffer.size() || m_read > compact_above_bytes) {
         m_buffer.erase(0, m_read);
         m_read = 0;
+        if (m_buffer.capacity() > compact_above_bytes) {
+            // An idle session does not keep the memory of a long message.
+            m_buffer.shrink_to_fit();
+        }
     }
     return std::optional<raw_message>{std::move(message)};
 }
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -133,6 +133,10 @@
     [[nodiscard]] bool has_sessions() const { return !m_sessions.empty(); }
 
     [[nodiscard]] proxy_gauges gauges() const;
+
+    /// Returns the size of the values and prepared statements of a session, in bytes; 0 if there is
+    /// no such session.
+    [[nodiscard]] std::size_t session_state_bytes(session_id id) const;
     [[nodiscard]] const directory::route_table& routes() const { return m_routes; }
 
     /// Checks a client's key against the configuration in force.
--- a/packages/proxy/src/client_side.cpp
+++ b/packages/proxy/src/client_side.cpp
@@ -106,6 +106,12 @@
     return std::nullopt;
 }
 
+std::size_t proxy::session_state_bytes(session_id id) const
+{
+    const auto found = m_sessions.find(id);
+    return found == m_sessions.end() ? 0 : found->second->state.bytes();
+}
+
 void proxy::on_client_statement(session_id id, statement::statement request, time_point now)
 {
     client_session* const session = find_session(id);
--- a/packages/settings/include/gypsumstep/settings/settings.h
+++ b/packages/settings/include/gypsumstep/settings/settings.h
@@ -30,10 +30,15 @@
     endpoint clients;           ///< listens for PostgreSQL clients; settings key "callers"
     std::uint32_t max_connections{4096};
     std::uint32_t max_message_bytes{16U * 1024 * 1024};
-    endpoint mesh;               ///< listens for other daemons
-    endpoint operators;          ///< listens for gypsumstepctl and metric scrapers
-    std::vector<endpoint> seeds; ///< mesh endpoints that are contacted first
-    std::string platform_url;    ///< http:// or https://
+    /// Bytes held for all client connections; 0 for four times max_message_bytes.
+    std::uint32_t max_buffered_bytes{0};
+    duration start_timeout{10'000'000};    ///< for a client's startup message
+    duration message_timeout{120'000'000}; ///< for a message to be complete
+    duration unread_timeout{30'000'000};   ///< for a client to accept some of its answers
+    endpoint mesh;                         ///< listens for other daemons
+    endpoint operators;                    ///< listens for gypsumstepctl and metric scrapers
+    std::vector<endpoint> seeds;           ///< mesh endpoints that are contacted first
+    std::string platform_url;              ///< http:// or https://
     std::uint32_t platform_timeout_ms{2000};
     std::string log_level{"info"};      ///< trace, debug, info, warn or error
     std::string log_file;               ///< empty: standard error
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t max_connections_limit = 65'536;
 constexpr std::uint32_t min_message_bytes = 1024;
 constexpr std::uint32_t max_message_bytes_limit = 1024U * 1024 * 1024;
+constexpr std::uint32_t max_buffered_bytes_limit = 0xffff'ffffU;
+constexpr std::uint64_t max_client_timeout_ms = 3'600'000;
 constexpr std::uint32_t min_platform_timeout_ms = 10;
 constexpr std::uint32_t max_platform_timeout_ms = 60'000;
 constexpr std::uint64_t max_shutdown_limit_ms = 3'600'000;
@@ -74,6 +76,12 @@
     reader.optional("max_connections", limit{1, max_connections_limit}, target.max_connections);
     reader.optional("max_message_bytes", limit{min_message_bytes, max_message_bytes_limit},
                     target.max_message_bytes);
+    reader.optional("max_buffered_bytes", limit{0, max_buffered_bytes_limit},
+                    target.max_buffered_bytes);
+    const document::milliseconds_between client_timeout{1, max_client_timeout_ms};
+    reader.optional("start_timeout_ms", client_timeout, target.start_timeout);
+    reader.optional("message_timeout_ms", client_timeout, target.message_timeout);
+    reader.optional("unread_timeout_ms", client_timeout, target.unread_timeout);
     reader.optional("platform_timeout_ms", limit{min_platform_timeout_ms, max_platform_timeout_ms},
                     target.platform_timeout_ms);
     reader.optional("shutdown_limit_ms", document::milliseconds_between{0, max_shutdown_limit_ms},
--- a/packages/statement/include/gypsumstep/statement/session_state.h
+++ b/packages/statement/include/gypsumstep/statement/session_state.h
@@ -5,6 +5,7 @@
 #include "gypsumstep/statement/server_command.h"
 #include "gypsumstep/statement/statement.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -30,9 +31,13 @@
 
     [[nodiscard]] const value_map& values() const { return m_values; }
 
+    /// Returns the size of all names, values and texts, in bytes.
+    [[nodiscard]] std::size_t bytes() const { return m_bytes; }
+
 private:
     value_map m_values;
     std::map<std::string, prepared_statement, std::less<>> m_prepared;
+    std::size_t m_bytes{0};
 };
 
 /// The session values and prepared statements that a server connection currently holds.
--- a/packages/statement/src/session_state.cpp
+++ b/packages/statement/src/session_state.cpp
@@ -24,19 +24,43 @@
     return names.at(static_cast<std::size_t>(value));
 }
 
+namespace {
+
+/// What an entry takes beside its text, in bytes: the node of the map and two strings.
+constexpr std::size_t entry_bytes = 128;
+
+std::size_t size_of(const std::string& name, const std::string& text)
+{
+    return entry_bytes + name.size() + text.size();
+}
+
+} // namespace
+
 void session_state::set_value(std::string name, std::string value)
 {
+    if (const auto found = m_values.find(name); found != m_values.end()) {
+        m_bytes -= size_of(found->first, found->second);
+    }
+    m_bytes += size_of(name, value);
     m_values.insert_or_assign(std::move(name), std::move(value));
 }
 
 void session_state::prepare(std::string name, prepared_statement shape)
 {
+    (void)close(name);
+    m_bytes += size_of(name, shape.shape);
     m_prepared.insert_or_assign(std::move(name), std::move(shape));
 }
 
 bool session_state::close(const std::string& name)
 {
-    return m_prepared.erase(name) > 0;
+    const auto found = m_prepared.find(name);
+    if (found == m_prepared.end()) {
+        return false;
+    }
+    m_bytes -= size_of(found->first, found->second.shape);
+    m_prepared.erase(found);
+    return true;
 }
 
 const prepared_statement* session_state::find(const std::string& name) const
