Tests of idle sessions, kept statements and stalled probes; bound probes

Cause: a crowd on the readiness port that stops half-way in its request kept the descriptors of clients until the 30 s of the idle timeout (ordinary request answered after 31 s, trial), and with 90 descriptors kept from clients only 3,988 of 4,000 idle sessions had room on the smallest VM.

Change: at most 32 connections on each HTTP port, the oldest is closed for one more; 60 descriptors kept from clients.

--- a/packages/edge/src/connection_guard.cpp
+++ b/packages/edge/src/connection_guard.cpp
@@ -17,9 +17,9 @@
 constexpr std::uint32_t reserved_for_files = 200;
 
 /// Descriptors kept from clients for the process's own connections to servers, the store and other
-/// daemons, and for those that other daemons open. On the smallest VM (4,300) 4,010 are left for
-/// clients, whose idle sessions may number 4,000.
-constexpr std::uint32_t kept_for_daemons = 90;
+/// daemons, and for those that other daemons open. On the smallest VM (4,300) 4,040 are left, of
+/// which some 30 are in use without clients: 4,000 idle sessions have room.
+constexpr std::uint32_t kept_for_daemons = 60;
 
 /// Descriptors kept from other daemons' connections for the process's own.
 constexpr std::uint32_t kept_for_own = 30;
--- a/packages/edge/src/http_server.cpp
+++ b/packages/edge/src/http_server.cpp
@@ -19,6 +19,10 @@
 /// A connection that is idle for longer is closed.
 constexpr std::chrono::seconds idle_timeout{30};
 
+/// Open connections; for one more, the oldest is closed. Only the load balancer and the scraper of
+/// the metrics connect, and one that is closed connects again.
+constexpr std::size_t max_connections = 32;
+
 /// Largest header and body of a request, in bytes. Probes and scrapes send some hundred bytes.
 constexpr std::uint32_t max_header_bytes = 8192;
 constexpr std::uint64_t max_body_bytes = 1024;
@@ -125,7 +129,15 @@
         connect(&connection->idle_timer, &QTimer::timeout, socket, [socket] { socket->abort(); });
         connect(socket, &QTcpSocket::readyRead, this,
                 [this, socket, connection] { read(*socket, *connection, m_respond); });
-        connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+        connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
+            m_open.remove(socket);
+            socket->deleteLater();
+        });
+        m_open.push_back(socket);
+        if (m_open.size() > max_connections) {
+            m_guard.count("http_connections");
+            m_open.front()->abort();
+        }
         if (socket->bytesAvailable() > 0) {
             read(*socket, *connection, m_respond);
         }
--- a/packages/edge/src/http_server.h
+++ b/packages/edge/src/http_server.h
@@ -7,8 +7,10 @@
 #include "gypsumstep/adapter/store_calls.h"
 
 #include <QTcpServer>
+#include <QTcpSocket>
 
 #include <functional>
+#include <list>
 #include <string>
 
 namespace gypsumstep::edge {
@@ -30,6 +32,7 @@
 
     handler m_respond;
     connection_guard& m_guard;
+    std::list<QTcpSocket*> m_open; ///< oldest first; outlives the server and its sockets
     QTcpServer m_server;
 };
 
--- a/testing/hostile/hostile_set.cpp
+++ b/testing/hostile/hostile_set.cpp
@@ -45,12 +45,14 @@
 }
 
 /// The time limits are shorter than the defaults, so that a test takes seconds.
-std::string settings_of_test()
+std::string settings_of_test(const stated_limits& limits)
 {
-    return "limits.memory-mb=" + std::to_string(memory_mb) +
-           "\nlimits.max-fds=" + std::to_string(max_descriptors) +
-           "\nclients.start-timeout-ms=2000\nclients.message-timeout-ms=4000\n"
-           "clients.unread-timeout-ms=4000\n";
+    const char* const times =
+        limits.usual_times ? ""
+                           : "clients.start-timeout-ms=2000\nclients.message-timeout-ms=4000\n"
+                             "clients.unread-timeout-ms=4000\n";
+    return "limits.memory-mb=" + std::to_string(limits.memory_mb) +
+           "\nlimits.max-fds=" + std::to_string(limits.max_descriptors) + '\n' + times;
 }
 
 /// Made before the members that need an event loop.
@@ -69,10 +71,10 @@
     return line + "\r\n";
 }
 
-hostile_set::hostile_set()
-    : m_group{service,
-              seed_after_application(),
-              {[](const auto&) {}, [](const auto&) {}, [](const auto&) {}}},
+hostile_set::hostile_set(stated_limits limits)
+    : m_limits{limits}, m_group{service,
+                                seed_after_application(),
+                                {[](const auto&) {}, [](const auto&) {}, [](const auto&) {}}},
       m_store{
           [this](const standins::promotion_order& order) { return m_group.promote(order.target); },
           [](const std::string&) {}}
@@ -89,13 +91,18 @@
     write_registrations();
     m_daemons = std::make_unique<soak::daemon_set>(
         HOSTILE_PROGRAM, 1, first_port, store_port,
-        soak::daemon_options{settings_of_test(), max_descriptors});
+        soak::daemon_options{settings_of_test(m_limits), m_limits.max_descriptors});
     REQUIRE(
         is_answered(client_port(), ordinary_request, ordinary_answer, attempt_time, longest_wait));
     m_process = m_daemons->process_id(0);
     UNSCOPED_INFO("peak memory before the crowd: " << peak_memory_mib(m_process) << " MiB");
 }
 
+std::uint16_t hostile_set::readiness_port() const
+{
+    return static_cast<std::uint16_t>(client_port() + 1);
+}
+
 std::uint16_t hostile_set::forwarding_port() const
 {
     return static_cast<std::uint16_t>(client_port() + 3);
@@ -119,8 +126,8 @@
 {
     CHECK(m_daemons->unexpected_exits().empty());
     CHECK(m_daemons->process_id(0) == m_process);
-    CHECK(peak_memory_mib(m_process) <= memory_mb);
-    CHECK(open_sockets(m_process) <= max_descriptors - reserved_for_files);
+    CHECK(peak_memory_mib(m_process) <= m_limits.memory_mb);
+    CHECK(open_sockets(m_process) <= m_limits.max_descriptors - reserved_for_files);
 }
 
 void hostile_set::check_served() const
--- a/testing/hostile/hostile_set.h
+++ b/testing/hostile/hostile_set.h
@@ -21,6 +21,16 @@
 inline constexpr std::uint64_t memory_mb = 64;
 inline constexpr std::uint64_t max_descriptors = 400;
 
+/// The limits that the settings of a daemon state.
+struct stated_limits {
+    std::uint64_t memory_mb{hostile::memory_mb};
+    std::uint64_t max_descriptors{hostile::max_descriptors};
+    bool usual_times{false}; ///< default time limits instead of short ones
+};
+
+/// Those of the smallest VM.
+inline constexpr stated_limits smallest_vm{160, 4300, true};
+
 /// Descriptors that are reserved for files: sockets may use only the others.
 inline constexpr std::uint64_t reserved_for_files = 200;
 
@@ -33,9 +43,10 @@
 /// A daemon that serves ordinary requests when the constructor returns.
 class hostile_set : public QObject {
 public:
-    hostile_set();
+    explicit hostile_set(stated_limits limits = {});
 
     [[nodiscard]] std::uint16_t client_port() const { return m_daemons->client_port(0); }
+    [[nodiscard]] std::uint16_t readiness_port() const;
     [[nodiscard]] std::uint16_t forwarding_port() const;
     [[nodiscard]] std::uint16_t relay_port() const;
     [[nodiscard]] adapter::standins::group_standin& group() { return m_group; }
@@ -49,6 +60,7 @@
 private:
     void write_registrations();
 
+    stated_limits m_limits;
     adapter::standins::group_standin m_group;
     adapter::standins::store_standin m_store;
     std::array<std::uint16_t, adapter::standins::group_standin::server_count> m_server_ports{};
--- a/testing/hostile/test_clients.cpp
+++ b/testing/hostile/test_clients.cpp
@@ -4,8 +4,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 
+#include <sys/resource.h>
+
 using namespace gypsumstep;
 using namespace gypsumstep::hostile;
 using namespace std::chrono_literals;
@@ -133,3 +136,37 @@
     many.leave();
     set.check_served();
 }
+
+TEST_CASE("clients that prepare many long statements", "[kept-statements]")
+{
+    hostile_set set;
+    std::string bytes = start;
+    for (int i = 0; i < 10; ++i) {
+        bytes += "QUERY q PREPARE p" + std::to_string(i) + " READ " + std::string(200'000, 'x');
+        bytes += "\r\n";
+    }
+    crowd many{set.client_port(), 60, {bytes, 16'384, 0ms, 512}};
+    many.run(longest_run);
+    set.check_served();
+}
+
+// Guards against limits that ordinary clients meet.
+TEST_CASE("on the smallest VM 4,000 idle sessions stay open and a long message is served",
+          "[idle-and-long]")
+{
+    constexpr std::size_t sessions = 4000;
+    constexpr rlim_t descriptors = 4500;
+    rlimit own{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &own) == 0);
+    REQUIRE(own.rlim_max >= descriptors);
+    own.rlim_cur = std::max(own.rlim_cur, descriptors);
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &own) == 0);
+    hostile_set set{smallest_vm};
+    crowd idle{set.client_port(), sessions, {start, 64, 5ms, 64}};
+    idle.run(longest_run);
+    CHECK(idle.connected() == sessions);
+    CHECK(is_answered(set.client_port(), start + long_statement(1'000'000), "\r\nDONE ", 20s, 20s));
+    idle.run(2s);
+    CHECK(idle.connected() == sessions);
+    set.check_served();
+}
--- a/testing/hostile/test_ports.cpp
+++ b/testing/hostile/test_ports.cpp
@@ -81,3 +81,11 @@
     many.run(longest_run);
     set.check_served();
 }
+
+TEST_CASE("requests for the readiness that stop half-way", "[readiness-stop-in-request]")
+{
+    hostile_set set;
+    crowd many{set.readiness_port(), 300, {"GET /readiness HT"}};
+    many.run(longest_run);
+    set.check_served();
+}
