--- a/packages/edge/src/connection_guard.cpp
+++ b/packages/edge/src/connection_guard.cpp
@@ -35,7 +35,8 @@
 /// and trying at once would keep the processor busy.
 constexpr std::chrono::milliseconds accept_pause{100};
 
-/// Interval between two log lines on closed connections: a crowd may be closed many times a second.
+/// Interval between two log lines on connections closed for the same cause: a crowd may be closed
+/// many times a second.
 constexpr duration log_interval = 1s;
 
 const logging::logger& log()
@@ -188,22 +189,23 @@
 
 void connection_guard::count(const char* cause)
 {
-    metrics::counter*& total = m_closings[cause];
-    if (total == nullptr) {
-        total = &m_registry.make_counter("gypsumstep_connections_closed_total",
-                                         "Connections refused or closed to protect the process",
-                                         {{"cause", cause}});
-    }
-    total->add();
+    closing_record& record = m_closings[cause];
     const time_point now = boot_now();
-    if (now - m_logged_at < log_interval) {
-        ++m_unlogged;
+    const bool is_first = record.total == nullptr;
+    if (is_first) {
+        record.total = &m_registry.make_counter(
+            "gypsumstep_connections_closed_total",
+            "Connections refused or closed to protect the process", {{"cause", cause}});
+    }
+    record.total->add();
+    if (!is_first && now - record.logged_at < log_interval) {
+        ++record.unlogged;
         return;
     }
-    m_logged_at = now;
+    record.logged_at = now;
     log().warn("closed or refused a connection to protect the process",
                {{"cause", cause},
-                {"others_since_last_line", std::exchange(m_unlogged, 0)},
+                {"others_since_last_line", std::exchange(record.unlogged, 0)},
                 {"held_bytes", static_cast<std::uint64_t>(m_ledger.held_bytes())},
                 {"max_bytes", static_cast<std::uint64_t>(m_limits.connections.max_bytes)},
                 {"connections", static_cast<std::uint64_t>(m_ledger.connection_count())}});
--- a/packages/edge/src/connection_guard.h
+++ b/packages/edge/src/connection_guard.h
@@ -80,6 +80,13 @@
     void update_metrics();
 
 private:
+    /// Counter and log lines of one cause.
+    struct closing_record {
+        metrics::counter* total{nullptr};
+        time_point logged_at{};
+        std::uint64_t unlogged{0}; ///< since the last line
+    };
+
     void close(intake::connection_id id, const char* cause);
     void schedule();
     void on_timer();
@@ -89,13 +96,11 @@
     intake::ledger m_ledger;
     metrics::registry& m_registry;
     metrics::gauge& m_held;
-    std::map<std::string, metrics::counter*, std::less<>> m_closings;
+    std::map<std::string, closing_record, std::less<>> m_closings;
     std::map<intake::connection_id, close_function> m_close;
     std::uint64_t m_next_id{1};
     QTimer m_timer;
     QTimer m_enforce_timer;
-    time_point m_logged_at{};
-    std::uint64_t m_unlogged{0};
 };
 
 } // namespace gypsumstep::edge
