--- a/packages/edge/src/allowance_gate.cpp
+++ b/packages/edge/src/allowance_gate.cpp
@@ -62,6 +62,13 @@
     });
 }
 
+bool allowance_gate::has_limits(const std::optional<accounts::account_table>& accounts)
+{
+    return accounts &&
+           std::any_of(accounts->accounts().begin(), accounts->accounts().end(),
+                       [](const auto& entry) { return entry.second.rate_per_second > 0; });
+}
+
 void allowance_gate::set_accounts(const std::optional<accounts::account_table>& accounts)
 {
     allowance::account_limits limits;
--- a/packages/edge/src/allowance_gate.h
+++ b/packages/edge/src/allowance_gate.h
@@ -34,6 +34,9 @@
     allowance_gate(const adapter::node_settings& settings, std::uint64_t seed,
                    metrics::registry& registry, sender send);
 
+    /// True if an account has a rate.
+    [[nodiscard]] static bool has_limits(const std::optional<accounts::account_table>& accounts);
+
     /// Replaces the accounts by those of the configuration in force.
     void set_accounts(const std::optional<accounts::account_table>& accounts);
 
--- a/packages/edge/src/edge_allowances.cpp
+++ b/packages/edge/src/edge_allowances.cpp
@@ -43,17 +43,19 @@
 
 void edge_process::update_accounts()
 {
-    const bool was_active = m_allowance_gate.is_active();
-    m_allowance_gate.set_accounts(m_proxy.routes().current().accounts);
-    if (!was_active) {
-        read_own_announcement();
-    }
-    // Without accounts that have a rate, daemons that exchange no claims need no port.
-    if (m_allowance_gate.is_active() && !m_peer_link.is_listening() &&
+    const auto& accounts = m_proxy.routes().current().accounts;
+    // Without accounts that have a rate, daemons that exchange no claims need no port. It is opened
+    // before the first message is sent, which would bind the socket to another port.
+    if (allowance_gate::has_limits(accounts) && !m_peer_link.is_listening() &&
         !m_peer_link.listen(m_settings.clients.host, m_settings.forwarding_port)) {
         log().error("cannot receive messages about allowances; accounts with a rate are refused",
                     {{"port", static_cast<std::uint64_t>(m_settings.forwarding_port)}});
     }
+    const bool was_active = m_allowance_gate.is_active();
+    m_allowance_gate.set_accounts(accounts);
+    if (!was_active) {
+        read_own_announcement();
+    }
 }
 
 void edge_process::read_own_announcement()
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -4,6 +4,7 @@
 
 #include "allowance_gate.h"
 #include "client_listener.h"
+#include "connection_guard.h"
 #include "daemon_roster.h"
 #include "edge_metrics.h"
 #include "http_server.h"
@@ -127,6 +128,7 @@
     peer_link m_peer_link;
     allowance_gate m_allowance_gate;
     daemon_roster m_roster;
+    connection_guard m_guard;
     client_listener m_client_listener;
     client_listener m_forwarding_listener; ///< accepts sessions that other daemons forward
     session_forwarder m_forwarder;
--- a/packages/edge/src/run_edge.cpp
+++ b/packages/edge/src/run_edge.cpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <utility>
 
+#include <malloc.h>
 #include <unistd.h>
 
 namespace gypsumstep::edge {
@@ -34,6 +35,19 @@
     }
 }
 
+/// Blocks from this size on, in bytes, are returned to the system when they are freed. Without a
+/// fixed size the C library raises it with the first long message, and the memory of a crowd's
+/// messages stays with the process.
+constexpr int returned_block_bytes = 64 << 10;
+
+void return_large_blocks()
+{
+#ifdef __GLIBC__
+    (void)::mallopt(M_MMAP_THRESHOLD, returned_block_bytes);
+    (void)::mallopt(M_TRIM_THRESHOLD, 4 * returned_block_bytes);
+#endif
+}
+
 bool start_logging(line_logger& output)
 {
     logging::options options;
@@ -60,6 +74,7 @@
     if (check_only) {
         return 0;
     }
+    return_large_blocks();
     line_logger output{STDOUT_FILENO};
     fatal_output = &output;
     runtime::report_fatal_signals({{STDOUT_FILENO, STDERR_FILENO}, flush_at_fatal_signal});
--- a/packages/edge/src/store_view.cpp
+++ b/packages/edge/src/store_view.cpp
@@ -81,19 +81,21 @@
 } // namespace
 
 store_view::store_view(const adapter::node_settings& settings, store_clock& clock, store_era& era,
-                       std::uint64_t seed, store_events events)
+                       std::uint64_t seed, connection_guard& guard, store_events events)
     : m_self{entry_of(settings)}, m_is_bootstrap{settings.is_bootstrap}, m_clock{clock}, m_era{era},
       m_events{std::move(events)}, m_reader{settings.store, era, seed,
                                             [this](store_subject subject,
                                                    const adapter::stored_rows& rows) {
                                                 on_rows(subject, rows);
                                             }},
-      m_relay_server{{
-          [this] { update_intervals(); },
-          [this] {
-              return relay_status{failing_for(boot_now()), m_clock.now(), m_era.current()};
+      m_relay_server{
+          {
+              [this] { update_intervals(); },
+              [this] {
+                  return relay_status{failing_for(boot_now()), m_clock.now(), m_era.current()};
+              },
           },
-      }},
+          guard},
       m_relay_client{m_self,
                      {
                          [this](const std::string& reader, const relay_message& message) {
--- a/packages/edge/tests/test_relay_server.cpp
+++ b/packages/edge/tests/test_relay_server.cpp
@@ -121,6 +121,8 @@
 
 /// A server that has read the store once.
 struct reader {
+    metrics::registry registry;
+    connection_guard guard{{}, registry};
     std::unique_ptr<relay_server> server;
     std::uint16_t port{first_port};
     std::size_t urgency_changes{0};
@@ -133,7 +135,8 @@
                                     ++urgency_changes;
                                     (void)server->server_listing_urgency();
                                 },
-                                [] { return relay_status{}; }});
+                                [] { return relay_status{}; }},
+            guard);
         while (!server->listen("127.0.0.1", port)) {
             ++port;
         }
--- a/packages/edge/tests/test_session_forwarder.cpp
+++ b/packages/edge/tests/test_session_forwarder.cpp
@@ -49,10 +49,12 @@
     fake_home home;
     homes::home_table table{"self", "b", {}};
     bool authorized{true};
+    metrics::registry registry;
+    connection_guard guard{{}, registry};
     bool limited{false};
     std::vector<std::function<void(const std::optional<std::string>&)>> held;
     std::size_t cancelled{0};
-    client_listener clients{events(), session_id{1}, adapter::line_sender::client};
+    client_listener clients{events(), session_id{1}, adapter::line_sender::client, guard};
     session_forwarder forwarder{clients,
                                 table,
                                 1,
@@ -320,7 +322,9 @@
     handlers.statement_received = [&](session_id, const statement::statement& request) {
         served += " " + request.text;
     };
-    client_listener clients{handlers, session_id{1}, adapter::line_sender::client};
+    metrics::registry registry;
+    connection_guard guard{{}, registry};
+    client_listener clients{handlers, session_id{1}, adapter::line_sender::client, guard};
     session_forwarder forwarding{clients, table, 1,
                                  [](const adapter::start_message&) { return true; },
                                  [&](session_id id, const adapter::start_message& message) {
--- a/packages/edge/tests/test_store_rollback.cpp
+++ b/packages/edge/tests/test_store_rollback.cpp
@@ -47,6 +47,8 @@
     std::size_t server_lists{0};
     std::vector<homes::announcement> listed;
     std::vector<homes::announcement> carried;
+    metrics::registry registry;
+    connection_guard guard{{}, registry};
     std::unique_ptr<store_view> view;
 
     drill()
@@ -71,7 +73,7 @@
     void start()
     {
         view = std::make_unique<store_view>(
-            settings, clock, era, 1,
+            settings, clock, era, 1, guard,
             store_events{
                 [this](const directory::configuration& next) {
                     configurations.push_back(next.version.value());
@@ -261,7 +263,7 @@
         here.clock,
         here.era,
         3,
-        {[] {}, [] { return std::vector<homes::daemon_entry>{}; }, [] { return false; }}};
+        {[] {}, [] { return std::vector<homes::daemon_entry>{}; }, [] { return false; }, [] {}}};
     here.start();
     REQUIRE(here.run([&] { return here.clock.known(); }));
     here.store.take_copy();
