Don't use a client's connection after a write that ended it

Cause: client_listener::write() flushes the answer; a flush that fails ends the connection before it returns, and the bounds on clients' memory then used the freed entry.

Change: the connection is looked up again after the write.

Ruled out: the proxy's handling of a lost server, which the last log lines showed; it keeps no reference over a call that may end the connection.

--- a/packages/edge/src/client_listener.cpp
+++ b/packages/edge/src/client_listener.cpp
@@ -242,16 +242,21 @@
 
 void client_listener::write(session_id id, const std::string& bytes, std::size_t answers)
 {
-    const auto found = m_connections.find(id);
+    auto found = m_connections.find(id);
     if (found == m_connections.end()) {
         return;
     }
-    connection& member = *found->second;
-    QTcpSocket& socket = *member.socket;
+    QTcpSocket& socket = *found->second->socket;
     for (; answers > 0; --answers) {
-        m_guard.remove_statement(member.guarded);
+        m_guard.remove_statement(found->second->guarded);
     }
     write_through(socket, bytes);
+    // A write that fails ends the connection before it returns; the socket is deleted later.
+    found = m_connections.find(id);
+    if (found == m_connections.end()) {
+        return;
+    }
+    connection& member = *found->second;
     if (socket.bytesToWrite() > max_unread_bytes) {
         m_guard.count("answers_too_long");
         m_events.malformed(id, "the client does not read its answers");
