--- a/packages/allowance/tests/test_allowance_fleet.cpp
+++ b/packages/allowance/tests/test_allowance_fleet.cpp
@@ -48,10 +48,8 @@
 TEST_CASE("one account at eight times its usual use over 80 daemons")
 {
     account_limits limits{{"flood", large}};
-    double all_weights = 0;
     for (int place = 2; place <= 84; ++place) {
         const double use = usual_use / std::pow(place, 1.2);
-        all_weights += use;
         limits["small-" + std::to_string(place)] = {1.6 * use, 1.6 * use};
     }
     simulated_daemons fleet{daemon_count, limits, 11};
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -332,6 +332,18 @@
     /// connection is needed and can't be opened now.
     bool await_connection(backend_server& server, const task_ptr& work,
                           dispatch::demand_table& demands, time_point now);
+    /// Servers that may run a read.
+    struct read_candidates {
+        std::vector<dispatch::candidate> all;
+        std::vector<dispatch::candidate> own; ///< in this daemon's region, with connections
+    };
+
+    [[nodiscard]] read_candidates candidates_for_read(const database_group& group, const task& work,
+                                                      dispatch::demand_table& demands,
+                                                      time_point now) const;
+    /// Leaves the remote servers out that would be chosen, but are not worth the way.
+    void erase_unjustified_remote(database_group& group, const task& work, read_candidates& found,
+                                  time_point now);
     bool try_start_read_of_account(database_group& group, const task_ptr& work,
                                    std::vector<dispatch::candidate> candidates,
                                    dispatch::demand_table& demands, time_point now);
--- a/packages/proxy/src/dispatching.cpp
+++ b/packages/proxy/src/dispatching.cpp
@@ -247,63 +247,77 @@
            server.lag.expects_refusal(now - work.required_position->as_of, now);
 }
 
-bool proxy::try_start_read(database_group& group, const task_ptr& work,
-                           dispatch::demand_table& demands, time_point now)
+proxy::read_candidates proxy::candidates_for_read(const database_group& group, const task& work,
+                                                  dispatch::demand_table& demands,
+                                                  time_point now) const
 {
-    work->required_position = group.watermarks.position_for(work->bound);
-    if (!work->required_position) {
-        request_watermark(group, work->bound.acknowledged_before, work->account, now);
-        return false;
-    }
-    if (uses_accounts() && !has_free_slot(group, *work)) {
-        count_wait(*work, wait_cause::slots);
-        return false;
-    }
-    std::vector<dispatch::candidate> candidates;
-    std::vector<dispatch::candidate> own;
+    read_candidates found;
     for (const backend_server* const server : group.servers) {
         const directory::server_record* const record = m_directory.find(server->id);
         if (record == nullptr || !is_usable(*server, now) ||
-            work->avoided_servers.contains(server->id) ||
-            is_avoided_for(group, *server, *work, now)) {
+            work.avoided_servers.contains(server->id) ||
+            is_avoided_for(group, *server, work, now)) {
             continue;
         }
         if (record->entry.draining && group.primary != server->id) {
             continue;
         }
-        if (work->opens_transaction && !may_open_transaction(group, *server)) {
+        if (work.opens_transaction && !may_open_transaction(group, *server)) {
             continue;
         }
-        const auto candidate = make_candidate(group, *server, *work, now);
+        const auto candidate = make_candidate(group, *server, work, now);
         if (candidate.distance != dispatch::proximity::remote && is_established(*server)) {
-            own.push_back(candidate);
+            found.own.push_back(candidate);
         }
         const auto has_connection = [&] {
-            const auto& demand = demand_at(demands, *server, work->account);
+            const auto& demand = demand_at(demands, *server, work.account);
             return demand.running + demand.opening > 0;
         };
-        if (!candidate.needs_connection || may_open_connection(*server, work->account, now) ||
+        if (!candidate.needs_connection || may_open_connection(*server, work.account, now) ||
             (uses_accounts() && has_connection())) {
-            candidates.push_back(candidate);
+            found.all.push_back(candidate);
+        }
+    }
+    return found;
+}
+
+void proxy::erase_unjustified_remote(database_group& group, const task& work,
+                                     read_candidates& found, time_point now)
+{
+    for (auto best = dispatch::choose_for_read(found.all); best;
+         best = dispatch::choose_for_read(found.all)) {
+        const backend_server& target = *find_server(*best);
+        if (target.distance != dispatch::proximity::remote ||
+            may_leave_region(group, target, work, found.own,
+                             !has_idle_connection(target, work.account), now)) {
+            break;
         }
+        std::erase_if(found.all,
+                      [&](const dispatch::candidate& candidate) { return candidate.id == *best; });
+    }
+}
+
+bool proxy::try_start_read(database_group& group, const task_ptr& work,
+                           dispatch::demand_table& demands, time_point now)
+{
+    work->required_position = group.watermarks.position_for(work->bound);
+    if (!work->required_position) {
+        request_watermark(group, work->bound.acknowledged_before, work->account, now);
+        return false;
     }
+    if (uses_accounts() && !has_free_slot(group, *work)) {
+        count_wait(*work, wait_cause::slots);
+        return false;
+    }
+    read_candidates found = candidates_for_read(group, *work, demands, now);
+    std::vector<dispatch::candidate>& candidates = found.all;
+    const std::vector<dispatch::candidate>& own = found.own;
     if (candidates.empty() && !work->avoided_servers.empty()) {
         work->avoided_servers.clear();
         return false;
     }
     if (uses_accounts()) {
-        for (auto best = dispatch::choose_for_read(candidates); best;
-             best = dispatch::choose_for_read(candidates)) {
-            const backend_server& target = *find_server(*best);
-            if (target.distance != dispatch::proximity::remote ||
-                may_leave_region(group, target, *work, own,
-                                 !has_idle_connection(target, work->account), now)) {
-                break;
-            }
-            std::erase_if(candidates, [&](const dispatch::candidate& candidate) {
-                return candidate.id == *best;
-            });
-        }
+        erase_unjustified_remote(group, *work, found, now);
         return try_start_read_of_account(group, work, std::move(candidates), demands, now);
     }
     while (const auto chosen = dispatch::choose_for_read(candidates)) {
--- a/packages/proxy/tests/test_accounts.cpp
+++ b/packages/proxy/tests/test_accounts.cpp
@@ -154,7 +154,7 @@
         for (std::uint64_t id = 1; id < 20; ++id) {
             if (fleet.connection_open(server_connection_id{id}) &&
                 fleet.server_of(server_connection_id{id}) == "p") {
-                open.push_back(server_connection_id{id});
+                open.emplace_back(id);
             }
         }
         return open;
