Count what own sessions keep again

Cause: the merge of the limits of accounts replaced the handler of own sessions' statements, which told the guard how much their values and prepared statements take. hostile-kept-statements found 101 MiB of 64.

--- a/packages/edge/src/edge_allowances.cpp
+++ b/packages/edge/src/edge_allowances.cpp
@@ -107,6 +107,7 @@
         statement::statement next = std::move(held.queue.front());
         held.queue.pop_front();
         m_proxy.on_client_statement(id, std::move(next), boot_now());
+        m_client_listener.set_kept(id, m_proxy.session_state_bytes(id));
     }
 }
 
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -214,6 +214,7 @@
     events.statement_received = [this](session_id id, statement::statement request) {
         on_own_statement(id, std::move(request));
         run_actions();
+        m_client_listener.set_kept(id, m_proxy.session_state_bytes(id));
     };
     return events;
 }
