--- a/packages/edge/src/client_listener.cpp
+++ b/packages/edge/src/client_listener.cpp
@@ -33,7 +33,8 @@
 /// Writes in pieces, so that Qt's buffer holds only what the kernel does not take.
 void write_through(QTcpSocket& socket, const std::string& bytes)
 {
-    for (std::size_t place = 0; place < bytes.size(); place += piece_bytes) {
+    // A flush that fails closes the socket.
+    for (std::size_t place = 0; place < bytes.size() && socket.isOpen(); place += piece_bytes) {
         const std::size_t size = std::min(piece_bytes, bytes.size() - place);
         socket.write(bytes.data() + place, static_cast<qint64>(size));
         socket.flush();
