Keep one copy of the stable hash and the rendezvous score

Cause: homes and allowance each had the same FNV-1a hash and the same weighted score; a change of one of them would make daemons disagree about keepers or homes. Change: both use gypsumstep/base/rendezvous.h; the results are the same. Measured: test_homes (17 cases) and test_allowance (20) pass.

--- a/packages/allowance/src/keeper_slots.cpp
+++ b/packages/allowance/src/keeper_slots.cpp
@@ -1,36 +1,17 @@
 #include "gypsumstep/allowance/keeper_slots.h"
 
 #include "gypsumstep/base/random.h"
+#include "gypsumstep/base/rendezvous.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <utility>
 
 namespace gypsumstep::allowance {
-namespace {
-
-/// Returns the FNV-1a hash, which is the same on every VM.
-std::uint64_t hash_of(std::string_view text)
-{
-    constexpr std::uint64_t offset = 14695981039346656037ULL;
-    constexpr std::uint64_t prime = 1099511628211ULL;
-    std::uint64_t hash = offset;
-    for (const char character : text) {
-        hash = (hash ^ static_cast<unsigned char>(character)) * prime;
-    }
-    return hash;
-}
-
-} // namespace
 
 double slot_rank(const std::string& daemon, std::uint32_t capacity, std::uint32_t slot)
 {
-    constexpr double hash_range = 18446744073709551616.0; // 2^64
-    const std::uint64_t hash = hash_combine(hash_of(daemon), slot);
-    const double unit = (static_cast<double>(hash) + 1.0) / (hash_range + 2.0);
-    const double weight = std::max<double>(capacity, 1.0);
-    return weight * weight / -std::log(unit);
+    return rendezvous_score(hash_combine(stable_hash(daemon), slot), capacity);
 }
 
 keeper_slots::keeper_slots(std::string domain,
@@ -74,7 +55,7 @@
         const homes::daemon_entry& daemon = *entry.daemon;
         const bool in_region = region_of(daemon.domain) == region_of(m_domain);
         const std::uint32_t distance = daemon.domain == m_domain ? 0U : in_region ? 1U : 2U;
-        places.emplace_back(distance, hash_combine(hash_of(m_domain), hash_of(daemon.name)),
+        places.emplace_back(distance, hash_combine(stable_hash(m_domain), stable_hash(daemon.name)),
                             daemon.name);
     }
     std::sort(places.begin(), places.end());
