Settle every promotion order before commits are acknowledged again

Cause: an order that gets no answer may be carried out seconds later. The daemon dropped the promotion as soon as the old primary answered, and resumed the paused replicas at a fixed time, so that commits were acknowledged which the ordered target lacked. Its token was still the newest when the order was carried out. Nobody settled the order, or ended the pauses, of a daemon that was killed.

Change: the claim's row names the servers that open orders name, and whether servers may be paused. A promotion ends when its orders are settled. With synchronous replicas the order is repeated for the same target, and replicas stay paused until it leads; without them, an order that names the present primary under a new claim makes the earlier ones void. Another home settles what a lost daemon left once its lease has ended; each home reads the row after its start and after each attempt. A command to resume is repeated until it is confirmed, and a daemon that takes a claim over waits for the last holder's commands.

Ruled out: making an order void with synchronous replicas, too. That order can be late itself and would take the lead from a server that has acknowledged commits. The hand-over of leads without fences is not affected: no daemon uses the old primary under the claim.

Cases for the coordinator, the commands to resume and the row's fields.

--- a/packages/promotion/include/gypsumstep/promotion/claim.h
+++ b/packages/promotion/include/gypsumstep/promotion/claim.h
@@ -23,6 +23,14 @@
     std::string target;     ///< instance id of the server to promote; empty while none may lead
     store_time claimed_at{0};
     std::string former; ///< server that led before the promotion; empty if the holder knows none
+    /// Instance ids of the servers named by orders that may still be carried out, under this claim
+    /// or earlier ones; the newest last.
+    std::vector<std::string> ordered{};
+    /// Servers of the group may still be paused, under this claim or an earlier one.
+    bool paused{false};
+
+    /// Whether nothing that was sent under this claim or an earlier one may still take effect.
+    [[nodiscard]] bool is_settled() const { return ordered.empty() && !paused; }
 
     friend bool operator==(const claim&, const claim&) = default;
 };
--- a/packages/promotion/include/gypsumstep/promotion/coordinator.h
+++ b/packages/promotion/include/gypsumstep/promotion/coordinator.h
@@ -31,6 +31,7 @@
     std::vector<std::string> other_members;
     std::uint32_t sync_replicas{0}; ///< replicas that must hold a commit before it is acknowledged
     bool old_primary_stops{true};   ///< the platform stops the old primary when it promotes another
+    bool awaits_resume{false};      ///< a server did not confirm resume_replicas yet
 
     friend bool operator==(const group_state&, const group_state&) = default;
 };
@@ -62,6 +63,13 @@
     friend bool operator==(const survey_replicas&, const survey_replicas&) = default;
 };
 
+/// Has all servers of the group receive log entries again, whichever daemon paused them.
+struct resume_replicas {
+    time_point exclusive_until{}; ///< until then no other daemon pauses servers of the group
+
+    friend bool operator==(const resume_replicas&, const resume_replicas&) = default;
+};
+
 /// Writes the claim's row if it still has the expected version.
 struct write_claim {
     claim next;
@@ -86,8 +94,8 @@
     friend bool operator==(const order_promotion&, const order_promotion&) = default;
 };
 
-using action = std::variant<read_shared_state, report_suspicion, survey_replicas, write_claim,
-                            hand_over_lead, order_promotion>;
+using action = std::variant<read_shared_state, report_suspicion, survey_replicas, resume_replicas,
+                            write_claim, hand_over_lead, order_promotion>;
 
 /// Result of a call to the store, a server or the platform.
 enum class call_outcome : std::uint8_t {
@@ -128,6 +136,15 @@
 /// lease. Otherwise a daemon that gave up would have the servers receive entries that another one's
 /// survey does not know, and the promoted server could lack acknowledged commits.
 ///
+/// An order without an answer may be carried out seconds later. Where the platform stops the old
+/// primary, each order is therefore settled, also after the old primary has answered again. The
+/// claim's row names an order and a pause until then, so that another daemon settles what a lost
+/// one has left; each daemon reads the row for that after its start and after each attempt.
+/// - Without synchronous replicas, an order that names the present primary, under a new claim,
+///   makes all earlier ones void.
+/// - With synchronous replicas, such an order could itself be carried out late, after the first
+///   one. Instead, the promotion goes on with the same target, and paused servers stay paused.
+///
 /// Where the platform does not stop the old primary, the coordinator first claims that no server
 /// may lead, has the lead handed over (see claim_exchange), and only then chooses the target and
 /// claims it.
@@ -165,6 +182,18 @@
     /// does so before the others.
     static constexpr duration claim_restore_delay = 1200ms;
 
+    /// A daemon whose lease has ended may have paused servers receive log entries again for this
+    /// long after it asked the store, if the store knew no other daemon's claim. A daemon that
+    /// takes a claim over pauses no server before these commands have taken effect.
+    static constexpr duration resume_permit = 200ms;
+
+    /// Time for such a command to reach its server.
+    static constexpr duration resume_transit = 100ms;
+
+    /// Longest random delay, beyond claim_lease, after which a daemon looks for orders and pauses
+    /// that a lost daemon has left; spreads the reads, and lets one daemon be first.
+    static constexpr duration settlement_jitter = 1s;
+
     /// Where the platform does not refuse old tokens, an order is sent only while the claim will be
     /// respected for at least this long.
     static constexpr duration order_margin = 1s;
@@ -194,7 +223,14 @@
     [[nodiscard]] static bool is_leased(const claim& value, store_time now);
 
     /// Whether a promotion is in progress, so that the group can expect a primary soon.
-    [[nodiscard]] bool in_progress() const { return m_step != step::idle; }
+    [[nodiscard]] bool in_progress() const { return m_step != step::idle && !m_settling; }
+
+    /// Whether this daemon settles an order or a pause of an earlier promotion.
+    [[nodiscard]] bool is_settling() const { return m_settling; }
+
+    /// Whether paused servers must stay paused, because an order that relies on it may still be
+    /// carried out.
+    [[nodiscard]] bool keeps_pause() const { return m_group.old_primary_stops && has_open_order(); }
 
     /// Why no server was promoted so far, for logs; a fixed text.
     [[nodiscard]] std::string_view obstacle() const;
@@ -206,19 +242,29 @@
     enum class step : std::uint8_t {
         idle,
         waiting,
-        reading,         ///< reads the shared state
-        claiming_survey, ///< writes or renews the claim under which servers are paused
-        claiming_lead,   ///< writes the claim that no server may lead
-        handing_over,    ///< waits until no daemon uses the former primary
-        reading_claim,   ///< reads the version of the claim that it wrote
-        checking,        ///< asks whether a replica keeps up with the draining primary
-        surveying,       ///< asks the replicas for their positions
-        claiming,        ///< writes the claim on the target
+        reading,          ///< reads the shared state
+        claiming_survey,  ///< writes or renews the claim under which servers are paused
+        awaiting_resumes, ///< waits until the last holder's commands have taken effect
+        claiming_lead,    ///< writes the claim that no server may lead
+        handing_over,     ///< waits until no daemon uses the former primary
+        reading_claim,    ///< reads the version of the claim that it wrote
+        checking,         ///< asks whether a replica keeps up with the draining primary
+        surveying,        ///< asks the replicas for their positions
+        claiming,         ///< writes the claim on the target
         ordering,
-        ordered
+        ordered,
+        resuming, ///< waits until paused servers receive the log again
+        closing   ///< records that nothing is left to settle
     };
 
+    /// Starts, continues or ends a promotion or a settlement; returns whether there is one.
+    bool choose_work(bool has_new_primary, time_point now);
+    void on_step_deadline(time_point now);
     [[nodiscard]] std::string reason_to_promote() const;
+    [[nodiscard]] bool is_ordering() const;
+    [[nodiscard]] bool awaits_order() const;
+    /// Whether earlier orders are better made void than repeated.
+    [[nodiscard]] bool prefers_present_primary() const;
     [[nodiscard]] bool may_be_unlisted() const;
     [[nodiscard]] bool needs_quorum() const;
     [[nodiscard]] bool has_quorum(const shared_state& state) const;
@@ -238,10 +284,25 @@
     void claim_lead(time_point now);
     void write(claim next, step following, time_point now);
     void send_order(time_point now);
+    void learn_claim(const std::optional<claim>& current);
+    void on_target_leads(time_point now);
+    [[nodiscard]] bool settles_own_claim() const;
+    /// Whether an order that is known to this daemon may still change the primary.
+    [[nodiscard]] bool has_open_order() const;
+    /// Whether \p server is the newest target of such orders.
+    [[nodiscard]] bool is_ordered(const std::string& server) const;
+    /// The targets of such orders once \p server is ordered, too.
+    [[nodiscard]] std::vector<std::string> ordered_with(const std::string& server) const;
+    void begin_settlement(time_point now);
+    void continue_settlement(const claim& last, time_point now);
+    void claim_settlement_target(time_point now);
+    void claim_present_primary(time_point now);
+    void close_claim(time_point now);
+    void write_closed_claim(time_point now);
     [[nodiscard]] bool holds_claim(const shared_state& state) const;
     /// Begins a new attempt after a backoff. \p obstacle must be a string literal.
     void retry(const char* obstacle, time_point now);
-    void finish();
+    void finish(time_point now);
     void claim_if_target_found(time_point now);
     template <class T>
     void add_action(T next)
@@ -262,12 +323,20 @@
     std::optional<log_position> m_required; ///< where the former primary's log ends
     std::vector<survey_answer> m_answers;
     time_point m_paused_until{};    ///< paused servers receive log entries again before
+    bool m_takes_over{false};       ///< another daemon held the last claim
     bool m_survey_claimed{false};   ///< servers may be paused under m_claim
     time_point m_claimed_at{};      ///< when the lease of m_claim began, or earlier
     bool m_replicas_paused{false};  ///< during the last survey
     bool m_replica_keeps_up{false}; ///< as checked in this attempt
     bool m_no_target_found{false};  ///< in the last survey
     claim m_claim;
+    claim m_newest_claim;                      ///< newest one read or written by this daemon
+    std::uint64_t m_settled_token{0};          ///< no order up to it can take effect any more
+    bool m_settling{false};                    ///< the steps only settle an earlier promotion
+    bool m_names_present_primary{false};       ///< m_claim only makes earlier orders void
+    std::optional<time_point> m_settlement_at; ///< when the claim is read to settle it
+    bool m_claim_may_follow{false};            ///< a claim without an answer may be written late
+    bool m_was_updated{false};
     std::uint32_t m_orders_sent{0};               ///< orders sent under the current claim
     std::optional<std::string> m_rejected_target; ///< the target that the platform refused
     std::uint32_t m_thin_surveys{0};
--- a/packages/promotion/src/claim_memory.cpp
+++ b/packages/promotion/src/claim_memory.cpp
@@ -9,7 +9,8 @@
 {
     entry& known = m_entries[service];
     known.highest_token = std::max(known.highest_token, value.token);
-    if (!known.newest || value.token > known.newest->token) {
+    if (!known.newest || value.token > known.newest->token ||
+        (value.token == known.newest->token && value.is_settled())) {
         known.newest = value;
         known.claimed_at = now - std::max(store_now - value.claimed_at, store_time{0});
     }
--- a/packages/promotion/src/coordinator.cpp
+++ b/packages/promotion/src/coordinator.cpp
@@ -18,6 +18,13 @@
 /// Minimum backoff before a new attempt; the actual one is random, up to twice as long.
 constexpr duration retry_backoff = 400ms;
 
+/// The same while this daemon does not know whether anything is left to settle.
+constexpr duration first_settlement_backoff = 1s;
+
+/// A claim without an answer is looked for once more after this time, in which the store carries
+/// out late writes: the platform speaks of seconds.
+constexpr duration late_write_limit = 15s;
+
 /// Number of surveys that are repeated because most servers did not answer.
 constexpr std::uint32_t max_thin_surveys = 2;
 
@@ -39,29 +46,88 @@
 {
     const bool same_primary = group.primary == m_group.primary;
     m_group = group;
-    // Without a primary a promotion that has begun goes on: its own claim may be the cause.
-    const bool goes_on = !m_group.primary && m_step != step::idle;
-    const std::string reason = goes_on ? m_reason : reason_to_promote();
-    if (reason.empty() || (!same_primary && m_group.primary)) {
-        finish();
-        if (reason.empty()) {
-            return;
-        }
+    if (!std::exchange(m_was_updated, true) && m_group.old_primary_stops) {
+        m_settlement_at = now + claim_lease + m_random.between(duration{0}, settlement_jitter);
+    }
+    if (is_ordering() && m_group.primary == m_claim.target && !m_names_present_primary) {
+        on_target_leads(now);
+    }
+    if (!awaits_order() && !choose_work(!same_primary && m_group.primary, now)) {
+        return;
     }
-    m_reason = reason;
     if (m_step == step::idle) {
         m_obstacle = "the promotion has begun";
         m_step = step::waiting;
         m_step_deadline = now + m_random.between(duration{0}, first_call_jitter);
     }
-    if (now < m_step_deadline) {
-        return;
+    if (m_step == step::resuming && !m_group.awaits_resume) {
+        write_closed_claim(now);
+    }
+    if (now >= m_step_deadline) {
+        on_step_deadline(now);
+    }
+}
+
+bool coordinator::choose_work(bool has_new_primary, time_point now)
+{
+    // Without a primary a promotion that has begun goes on: its own claim may be the cause.
+    const bool goes_on = !m_group.primary && in_progress();
+    const std::string reason = goes_on ? m_reason : reason_to_promote();
+    if (has_new_primary || reason.empty() != m_settling) {
+        const bool was_settling = m_settling;
+        finish(now);
+        if (was_settling) {
+            m_settlement_at = now;
+        }
+    }
+    if (!reason.empty()) {
+        m_reason = reason;
+        return true;
+    }
+    if (m_settling) {
+        return true;
     }
-    if (m_step == step::waiting) {
+    if (!m_settlement_at || now < *m_settlement_at || !m_group.primary) {
+        return false;
+    }
+    m_reason = "an earlier promotion is not settled";
+    m_settling = true;
+    m_step = step::waiting;
+    m_step_deadline = now;
+    return true;
+}
+
+void coordinator::on_step_deadline(time_point now)
+{
+    switch (m_step) {
+    case step::waiting:
         begin_attempt(now);
-        return;
+        break;
+    case step::awaiting_resumes:
+        read_state(step::reading_claim, now);
+        break;
+    default:
+        retry("a step of the promotion was not answered in time", now);
+        break;
     }
-    retry("a step of the promotion was not answered in time", now);
+}
+
+bool coordinator::is_ordering() const
+{
+    return m_step == step::ordering || m_step == step::ordered;
+}
+
+bool coordinator::awaits_order() const
+{
+    if (!m_group.old_primary_stops || !is_ordering()) {
+        return false;
+    }
+    // An order to promote may take effect even if the old primary answers again. One that only
+    // makes earlier orders void is of no use once the primary that it names is lost or replaced.
+    const bool is_obsolete =
+        m_names_present_primary &&
+        (!reason_to_promote().empty() || (m_group.primary && m_group.primary != m_claim.target));
+    return !is_obsolete;
 }
 
 std::string coordinator::reason_to_promote() const
@@ -130,7 +196,9 @@
     m_required.reset();
     m_replica_keeps_up = false;
     m_survey_claimed = false;
-    if (needs_quorum()) {
+    m_replicas_paused = false;
+    m_names_present_primary = false;
+    if (!m_settling && needs_quorum()) {
         add_action(report_suspicion{m_group.primary.value_or("")});
     }
     read_state(step::reading, now);
@@ -161,15 +229,23 @@
         return;
     }
     m_shared = state;
+    learn_claim(state->current_claim);
     if (m_step == step::reading_claim) {
-        if (holds_claim(*state)) {
-            survey(now);
+        if (!holds_claim(*state)) {
+            retry("another daemon took the claim over", now);
+        }
+        else if (m_settling && !has_open_order()) {
+            close_claim(now);
         }
         else {
-            retry("another daemon took the claim over", now);
+            survey(now);
         }
         return;
     }
+    if (m_settling) {
+        begin_settlement(now);
+        return;
+    }
     if (state->current_claim && state->current_claim->holder != m_daemon &&
         is_leased(*state->current_claim, state->now)) {
         retry("another daemon holds the claim", now);
@@ -207,6 +283,9 @@
 {
     m_shared.reset();
     m_actions.clear();
+    if (m_settlement_at) {
+        m_settlement_at = std::max(*m_settlement_at, now + claims_restored_after);
+    }
     if (m_step == step::idle || m_step == step::ordered) {
         return false;
     }
@@ -228,6 +307,8 @@
 {
     claim next;
     next.former = former_primary();
+    next.ordered = m_newest_claim.ordered;
+    next.paused = m_newest_claim.paused;
     if (m_group.primary == next.former) {
         // It may be cut off from the daemons that wanted the promotion.
         m_excluded = next.former;
@@ -251,6 +332,8 @@
     next.token = std::max(newest_token, m_shared->min_token) + 1;
     next.claimed_at = m_shared->now;
     m_claim = std::move(next);
+    // It may be written although no answer arrives.
+    m_newest_claim = m_claim;
     m_claimed_at = m_read_at;
     m_step = following;
     m_step_deadline = now + step_timeout;
@@ -307,13 +390,19 @@
 
 void coordinator::claim_survey(time_point now)
 {
+    m_takes_over = m_shared->current_claim && m_shared->current_claim->holder != m_daemon;
     if (m_group.old_primary_stops) {
-        write(claim{}, step::claiming_survey, now);
+        claim next;
+        next.ordered = m_newest_claim.ordered;
+        next.paused = true;
+        write(std::move(next), step::claiming_survey, now);
         return;
     }
     // The hand-over may have taken most of the lease. The token stays, as the lead was handed over
     // under it.
     m_claim.claimed_at = m_shared->now;
+    m_claim.paused = true;
+    m_newest_claim = m_claim;
     m_claimed_at = m_read_at;
     m_step = step::claiming_survey;
     m_step_deadline = now + step_timeout;
@@ -322,7 +411,7 @@
 
 bool coordinator::is_planned() const
 {
-    return m_group.old_primary_stops && m_group.primary && m_group.primary_draining;
+    return m_group.old_primary_stops && m_group.primary && m_group.primary_draining && !m_settling;
 }
 
 void coordinator::check_replicas(time_point now)
@@ -395,6 +484,10 @@
         retry("most servers did not answer the survey", now);
         return;
     }
+    if (m_settling) {
+        claim_settlement_target(now);
+        return;
+    }
     const auto target = best_replica();
     m_no_target_found = !target;
     if (!target) {
@@ -405,6 +498,8 @@
     claim next;
     next.target = *target;
     next.former = m_group.old_primary_stops ? std::string{} : m_claim.former;
+    next.ordered = ordered_with(next.target);
+    next.paused = m_replicas_paused || m_newest_claim.paused;
     write(std::move(next), step::claiming, now);
 }
 
@@ -421,9 +516,16 @@
             // An order to promote it may still be carried out, after any later one.
             return answer.server;
         }
+        const bool was_ordered = is_ordered(answer.server);
+        if (was_ordered && m_group.sync_replicas > 0) {
+            // An order to promote it may be carried out just before a later one.
+            return answer.server;
+        }
         const bool ready = is_ready(answer.server);
         if (best == nullptr || (ready && !is_ready(best->server)) ||
-            (ready == is_ready(best->server) && answer.status->received > best->status->received)) {
+            (ready == is_ready(best->server) &&
+             (answer.status->received > best->status->received ||
+              (answer.status->received == best->status->received && was_ordered)))) {
             best = &answer;
         }
     }
@@ -452,16 +554,38 @@
 
 void coordinator::on_claim_written(call_outcome outcome, time_point now)
 {
+    if (m_step == step::closing) {
+        if (outcome == call_outcome::done) {
+            m_newest_claim = m_claim;
+            m_settlement_at.reset();
+            finish(now);
+        }
+        else {
+            retry("the claim was not written", now);
+        }
+        return;
+    }
     if (m_step != step::claiming && m_step != step::claiming_lead &&
         m_step != step::claiming_survey) {
         return;
     }
+    if (outcome == call_outcome::conflict) {
+        learn_claim(m_shared->current_claim);
+    }
+    else if (outcome == call_outcome::failed) {
+        m_claim_may_follow = true;
+    }
     if (outcome != call_outcome::done) {
         retry("the claim was not written", now);
         return;
     }
     if (m_step == step::claiming_survey) {
         m_survey_claimed = true;
+        if (m_takes_over) {
+            m_step = step::awaiting_resumes;
+            m_step_deadline = now + resume_permit + resume_transit;
+            return;
+        }
         read_state(step::reading_claim, now);
         return;
     }
@@ -507,13 +631,16 @@
     case call_outcome::done:
         m_step = step::ordered;
         m_step_deadline = now + order_effect_timeout;
+        if (m_names_present_primary && m_group.primary == m_claim.target) {
+            on_target_leads(now);
+        }
         break;
     case call_outcome::conflict:
         m_rejected_target = m_claim.target;
         retry("the platform refused the target", now);
         break;
     case call_outcome::failed:
-        if (m_orders_sent >= max_orders_per_claim) {
+        if (m_orders_sent >= max_orders_per_claim || prefers_present_primary()) {
             retry("the platform did not answer the order", now);
             break;
         }
@@ -523,6 +650,155 @@
     }
 }
 
+bool coordinator::prefers_present_primary() const
+{
+    return m_group.old_primary_stops && m_group.sync_replicas == 0 && m_group.primary &&
+           !m_names_present_primary && reason_to_promote().empty();
+}
+
+void coordinator::learn_claim(const std::optional<claim>& current)
+{
+    m_newest_claim = current.value_or(claim{});
+    if (m_newest_claim.token <= m_settled_token) {
+        m_newest_claim.ordered.clear();
+    }
+}
+
+void coordinator::on_target_leads(time_point now)
+{
+    // A copy of an answered order changes nothing, and the platform refuses the older ones.
+    m_settled_token = m_claim.token;
+    m_newest_claim.ordered.clear();
+    finish(now);
+    if (m_group.old_primary_stops) {
+        m_settlement_at = now;
+    }
+}
+
+bool coordinator::settles_own_claim() const
+{
+    return m_newest_claim.holder == m_daemon && !m_newest_claim.is_settled();
+}
+
+bool coordinator::has_open_order() const
+{
+    // A copy of an order to promote the present primary changes nothing.
+    return std::any_of(m_newest_claim.ordered.begin(), m_newest_claim.ordered.end(),
+                       [this](const std::string& server) { return server != m_group.primary; });
+}
+
+bool coordinator::is_ordered(const std::string& server) const
+{
+    return !m_newest_claim.ordered.empty() && m_newest_claim.ordered.back() == server;
+}
+
+std::vector<std::string> coordinator::ordered_with(const std::string& server) const
+{
+    std::vector<std::string> servers = m_newest_claim.ordered;
+    std::erase(servers, server);
+    servers.push_back(server);
+    return servers;
+}
+
+void coordinator::begin_settlement(time_point now)
+{
+    const auto& last = m_shared->current_claim;
+    if (!last || last->is_settled()) {
+        finish(now);
+        m_settlement_at.reset();
+        if (std::exchange(m_claim_may_follow, false)) {
+            m_settlement_at = now + late_write_limit;
+        }
+        return;
+    }
+    if (last->holder != m_daemon && is_leased(*last, m_shared->now)) {
+        const store_time remaining = last->claimed_at + claim_lease - m_shared->now;
+        finish(now);
+        m_settlement_at = now + remaining + m_random.between(duration{0}, settlement_jitter);
+        return;
+    }
+    continue_settlement(*last, now);
+}
+
+void coordinator::continue_settlement(const claim& last, time_point now)
+{
+    if (!has_open_order()) {
+        const store_time age = m_shared->now - last.claimed_at;
+        if (!last.paused || (last.holder == m_daemon && claim_lease - age >= min_remaining_lease)) {
+            m_claim = last;
+            m_claimed_at = m_read_at - age;
+            close_claim(now);
+        }
+        else {
+            claim_survey(now);
+        }
+    }
+    else if (m_group.sync_replicas > 0) {
+        survey(now);
+    }
+    else {
+        claim_present_primary(now);
+    }
+}
+
+void coordinator::claim_settlement_target(time_point now)
+{
+    const auto found =
+        std::find_if(m_answers.begin(), m_answers.end(), [this](const survey_answer& answer) {
+            return is_ordered(answer.server) && answer.status;
+        });
+    const bool is_behind =
+        found == m_answers.end() ||
+        std::any_of(m_answers.begin(), m_answers.end(), [&found](const survey_answer& answer) {
+            return answer.status && answer.status->received > found->status->received;
+        });
+    if (is_behind || m_rejected_target == found->server) {
+        claim_present_primary(now);
+        return;
+    }
+    claim next;
+    next.target = found->server;
+    next.ordered = ordered_with(next.target);
+    next.paused = true;
+    write(std::move(next), step::claiming, now);
+}
+
+void coordinator::claim_present_primary(time_point now)
+{
+    if (!m_group.primary) {
+        retry("no primary is known that an order could name", now);
+        return;
+    }
+    claim next;
+    next.target = *m_group.primary;
+    next.ordered = ordered_with(next.target);
+    next.paused = m_newest_claim.paused;
+    m_names_present_primary = true;
+    write(std::move(next), step::claiming, now);
+}
+
+void coordinator::close_claim(time_point now)
+{
+    m_settled_token = m_claim.token;
+    if (!m_claim.paused) {
+        write_closed_claim(now);
+        return;
+    }
+    m_step = step::resuming;
+    m_step_deadline = now + step_timeout;
+    m_group.awaits_resume = true;
+    add_action(resume_replicas{m_claimed_at + claim_lease});
+}
+
+void coordinator::write_closed_claim(time_point now)
+{
+    m_claim.ordered.clear();
+    m_claim.paused = false;
+    m_step = step::closing;
+    m_step_deadline = now + step_timeout;
+    add_action(write_claim{m_claim, m_shared->claim_version});
+}
+
 std::vector<action> coordinator::take_actions()
 {
     return std::exchange(m_actions, {});
@@ -532,12 +808,22 @@
 {
     m_obstacle = obstacle;
     m_step = step::waiting;
-    m_step_deadline = now + m_random.between(retry_backoff, retry_backoff * 2);
+    const duration backoff =
+        m_settling && m_newest_claim.is_settled() ? first_settlement_backoff : retry_backoff;
+    m_step_deadline = now + m_random.between(backoff, backoff * 2);
 }
 
-void coordinator::finish()
+void coordinator::finish(time_point now)
 {
+    if (in_progress() && m_group.old_primary_stops) {
+        // Another daemon may have claimed meanwhile, and be lost before it settles its order.
+        m_settlement_at =
+            settles_own_claim()
+                ? now
+                : now + claim_lease + m_random.between(duration{0}, settlement_jitter);
+    }
     m_step = step::idle;
+    m_settling = false;
     m_reason.clear();
     m_rejected_target.reset();
     m_excluded.clear();
--- a/packages/promotion/tests/test_claim_memory.cpp
+++ b/packages/promotion/tests/test_claim_memory.cpp
@@ -61,3 +61,18 @@
     CHECK(memory.highest_token("ledger") == 9);
     CHECK(memory.services().empty());
 }
+
+TEST_CASE("a claim that was settled is put back as settled")
+{
+    claim_memory memory;
+    const claim open{"d1", 4, "r1", store_time{1000}, {}, {"r1"}, true};
+    claim settled = open;
+    settled.ordered.clear();
+    settled.paused = false;
+    memory.learn("ledger", open, store_time{1000}, start);
+    memory.learn("ledger", settled, store_time{1000}, start);
+    memory.learn("ledger", open, store_time{1000}, start);
+    const auto restored = memory.restore("ledger", shared_state{}, start);
+    REQUIRE(restored);
+    CHECK(restored->next.is_settled());
+}
--- a/packages/promotion/tests/test_coordinator.cpp
+++ b/packages/promotion/tests/test_coordinator.cpp
@@ -766,3 +766,336 @@
     daemon.collect();
     CHECK(daemon.actions.empty());
 }
+
+namespace {
+
+using servers = std::vector<std::string>;
+
+group_state synchronous_group()
+{
+    group_state group = healthy_group();
+    group.sync_replicas = 1;
+    return group;
+}
+
+group_state lost_primary_of(const group_state& group)
+{
+    group_state lost = group;
+    lost.primary.reset();
+    return lost;
+}
+
+/// The store's rows, as far as one coordinator reads and writes them.
+struct fake_store {
+    shared_state state{empty_store()};
+
+    /// Answers the coordinator's reads and writes until it does neither; its other actions are left
+    /// in \c daemon.actions.
+    void serve(coordinator_driver& daemon)
+    {
+        std::vector<action> others;
+        for (bool served = true; served;) {
+            served = false;
+            for (const action& next : std::exchange(daemon.actions, {})) {
+                if (std::holds_alternative<read_shared_state>(next)) {
+                    daemon.subject.on_shared_state(state, daemon.now);
+                    served = true;
+                }
+                else if (const auto* write = std::get_if<write_claim>(&next)) {
+                    const bool expected = write->expected_version == state.claim_version;
+                    if (expected) {
+                        state.current_claim = write->next;
+                        ++state.claim_version;
+                    }
+                    daemon.subject.on_claim_written(
+                        expected ? call_outcome::done : call_outcome::conflict, daemon.now);
+                    served = true;
+                }
+                else {
+                    others.push_back(next);
+                }
+            }
+            daemon.collect();
+        }
+        daemon.actions = std::move(others);
+    }
+
+    /// Runs the coordinator until it does something else than to use the store.
+    void run(coordinator_driver& daemon, const group_state& group, duration limit = 6s)
+    {
+        const time_point end = daemon.now + limit;
+        do {
+            const time_point before = daemon.now;
+            daemon.run(group, 20ms);
+            state.now += std::chrono::duration_cast<store_time>(daemon.now - before);
+            serve(daemon);
+        } while (daemon.actions.empty() && daemon.now < end);
+    }
+};
+
+/// Plays the promotion of r2 up to its first order, which gets no answer.
+void order_without_answer(coordinator_driver& daemon, fake_store& store, const group_state& group)
+{
+    store.run(daemon, lost_primary_of(group));
+    REQUIRE(find_action<survey_replicas>(daemon.actions));
+    daemon.subject.on_survey(both_answers, daemon.now);
+    daemon.collect();
+    store.serve(daemon);
+    REQUIRE(find_action<order_promotion>(daemon.actions));
+    CHECK(find_action<order_promotion>(daemon.actions)->target == "r2");
+}
+
+} // namespace
+
+// An order that got no answer was carried out after the primary had answered again, and rolled back
+// commits that it had acknowledged meanwhile.
+TEST_CASE("an order without an answer is made void once the primary answers again")
+{
+    coordinator_driver daemon;
+    fake_store store;
+    const group_state group = healthy_group();
+    order_without_answer(daemon, store, group);
+    CHECK(store.state.current_claim->ordered == servers{"r2"});
+    daemon.run(group, 1s);
+    daemon.subject.on_order(call_outcome::failed, daemon.now);
+    daemon.collect();
+    store.run(daemon, group);
+    const std::uint64_t token = store.state.current_claim->token;
+    CHECK(find_action<order_promotion>(daemon.actions) == order_promotion{"p", token});
+    CHECK(token > 1);
+    CHECK_FALSE(store.state.current_claim->is_settled());
+    // It is repeated until it is answered.
+    daemon.subject.on_order(call_outcome::failed, daemon.now);
+    daemon.collect();
+    CHECK(find_action<order_promotion>(daemon.actions) == order_promotion{"p", token});
+    daemon.subject.on_order(call_outcome::done, daemon.now);
+    store.run(daemon, group, 1s);
+    CHECK(store.state.current_claim->is_settled());
+    CHECK(store.state.current_claim->token == token);
+    CHECK(daemon.actions.empty());
+    CHECK_FALSE(daemon.subject.is_settling());
+}
+
+// LOST: as above, with synchronous replicas. An order that names the old primary could be carried
+// out late as well, so the promotion goes on.
+TEST_CASE("with synchronous replicas an unanswered order is repeated while replicas stay paused")
+{
+    coordinator_driver daemon;
+    fake_store store;
+    group_state group = synchronous_group();
+    order_without_answer(daemon, store, group);
+    CHECK(daemon.subject.keeps_pause());
+    for (int order = 0; order < 12; ++order) {
+        daemon.run(group, 1s);
+        daemon.subject.on_order(call_outcome::failed, daemon.now);
+        daemon.collect();
+        store.serve(daemon);
+        if (daemon.actions.empty()) {
+            store.run(daemon, group);
+        }
+        if (find_action<survey_replicas>(daemon.actions)) {
+            CHECK(find_action<survey_replicas>(daemon.actions)->pause);
+            daemon.subject.on_survey(both_answers, daemon.now);
+            daemon.collect();
+            store.serve(daemon);
+        }
+        REQUIRE(find_action<order_promotion>(daemon.actions));
+        CHECK(find_action<order_promotion>(daemon.actions)->target == "r2");
+        CHECK(daemon.subject.keeps_pause());
+        CHECK_FALSE(find_action<resume_replicas>(daemon.actions));
+    }
+    daemon.subject.on_order(call_outcome::done, daemon.now);
+    CHECK(daemon.subject.keeps_pause());
+    group.primary = "r2";
+    group.replicas = {"r1", "p"};
+    store.run(daemon, group);
+    CHECK_FALSE(daemon.subject.keeps_pause());
+    CHECK(find_action<resume_replicas>(daemon.actions));
+    CHECK_FALSE(store.state.current_claim->is_settled());
+    group.awaits_resume = true;
+    store.run(daemon, group, 200ms);
+    CHECK_FALSE(store.state.current_claim->is_settled());
+    group.awaits_resume = false;
+    store.run(daemon, group, 200ms);
+    CHECK(store.state.current_claim->is_settled());
+}
+
+// LOST: nobody settled the order of a daemon that was killed, and nobody ended its pause.
+TEST_CASE("another daemon settles the order of a lost one once its lease has ended")
+{
+    for (const std::uint32_t sync_replicas : {0U, 1U}) {
+        group_state group = healthy_group();
+        group.sync_replicas = sync_replicas;
+        fake_store store;
+        coordinator_driver lost;
+        lost.subject = coordinator{"ledger", "d2", 8};
+        order_without_answer(lost, store, group);
+        const claim left = *store.state.current_claim;
+        coordinator_driver daemon;
+        store.run(daemon, group, coordinator::claim_lease - 100ms);
+        CHECK(daemon.actions.empty());
+        CHECK(store.state.current_claim == left);
+        store.run(daemon, group);
+        if (sync_replicas > 0) {
+            REQUIRE(find_action<survey_replicas>(daemon.actions));
+            CHECK(store.state.current_claim->ordered == servers{"r2"});
+            daemon.subject.on_survey(both_answers, daemon.now);
+            daemon.collect();
+            store.serve(daemon);
+        }
+        const std::uint64_t token = store.state.current_claim->token;
+        CHECK(token > left.token);
+        CHECK(find_action<order_promotion>(daemon.actions) ==
+              order_promotion{sync_replicas > 0 ? "r2" : "p", token});
+    }
+}
+
+TEST_CASE("the pause of a lost daemon is ended under a claim")
+{
+    const group_state group = synchronous_group();
+    fake_store store;
+    coordinator_driver lost;
+    lost.subject = coordinator{"ledger", "d2", 8};
+    store.run(lost, lost_primary_of(group));
+    REQUIRE(find_action<survey_replicas>(lost.actions));
+    CHECK(store.state.current_claim->paused);
+    coordinator_driver daemon;
+    store.run(daemon, group, 10s);
+    REQUIRE(find_action<resume_replicas>(daemon.actions));
+    CHECK(store.state.current_claim->holder == "d1");
+    CHECK(find_action<resume_replicas>(daemon.actions)->exclusive_until > daemon.now);
+    store.run(daemon, group, 200ms);
+    CHECK(store.state.current_claim->is_settled());
+}
+
+TEST_CASE("a daemon that starts leaves a settled claim alone")
+{
+    fake_store store;
+    store.state.current_claim = claim{"d2", 4, "p", store.state.now, {}, {}, false};
+    store.state.claim_version = 7;
+    coordinator_driver daemon;
+    store.run(daemon, healthy_group(), 10s);
+    CHECK(daemon.actions.empty());
+    CHECK(store.state.claim_version == 7);
+}
+
+// LOST: a later target would have led while the earlier order could still be carried out.
+TEST_CASE("with synchronous replicas a later promotion keeps the target of an unanswered order")
+{
+    group_state group = lost_primary_of(synchronous_group());
+    const std::vector<survey_answer> equal{{"r1", status_at(12)}, {"r2", status_at(12)}};
+    fake_store store;
+    store.state.current_claim = claim{"d2", 4, "r2", store_time{0}, {}, {"r2"}, true};
+    coordinator_driver daemon;
+    store.run(daemon, group);
+    REQUIRE(find_action<survey_replicas>(daemon.actions));
+    daemon.subject.on_survey({equal, {}}, daemon.now);
+    daemon.collect();
+    store.serve(daemon);
+    CHECK(find_action<order_promotion>(daemon.actions)->target == "r2");
+}
+
+TEST_CASE("an order is made void if its target cannot lead any more")
+{
+    const group_state group = synchronous_group();
+    fake_store store;
+    store.state.current_claim = claim{"d2", 4, "r2", store_time{0}, {}, {"r2"}, true};
+    const auto settle = [&](const std::optional<statement::server_status>& target) {
+        coordinator_driver daemon;
+        store.run(daemon, group);
+        REQUIRE(find_action<survey_replicas>(daemon.actions));
+        daemon.subject.on_survey({{{"r1", status_at(11)}, {"r2", target}}, {}}, daemon.now);
+        daemon.collect();
+        store.serve(daemon);
+        std::string ordered = find_action<order_promotion>(daemon.actions)->target;
+        CHECK(store.state.current_claim->ordered.back() == ordered);
+        CHECK(store.state.current_claim->ordered.front() == "r2");
+        CHECK(store.state.current_claim->paused);
+        return ordered;
+    };
+    CHECK(settle(status_at(11)) == "r2");
+    // It has restarted, or was told to receive the log again, and lacks what r1 has received.
+    store.state.current_claim = claim{"d2", 4, "r2", store_time{0}, {}, {"r2"}, true};
+    CHECK(settle(status_at(10)) == "p");
+    store.state.current_claim = claim{"d2", 4, "r2", store_time{0}, {}, {"r2"}, true};
+    CHECK(settle(std::nullopt) == "p");
+}
+
+TEST_CASE("an order whose target leads meanwhile is made void by naming that one")
+{
+    coordinator_driver daemon;
+    fake_store store;
+    group_state group = healthy_group();
+    order_without_answer(daemon, store, group);
+    daemon.run(group, 20ms);
+    daemon.subject.on_order(call_outcome::failed, daemon.now);
+    store.run(daemon, group);
+    REQUIRE(find_action<order_promotion>(daemon.actions)->target == "p");
+    // The first order was carried out, and the second one may follow.
+    group.primary = "r2";
+    group.replicas = {"r1", "p"};
+    store.run(daemon, group);
+    REQUIRE(find_action<order_promotion>(daemon.actions));
+    CHECK(find_action<order_promotion>(daemon.actions)->target == "r2");
+}
+
+TEST_CASE("a primary that is lost while an earlier order is settled is replaced at once")
+{
+    coordinator_driver daemon;
+    fake_store store;
+    const group_state group = healthy_group();
+    order_without_answer(daemon, store, group);
+    daemon.run(group, 20ms);
+    daemon.subject.on_order(call_outcome::failed, daemon.now);
+    store.run(daemon, group);
+    REQUIRE(find_action<order_promotion>(daemon.actions)->target == "p");
+    store.run(daemon, lost_primary_of(group), 1s);
+    CHECK(daemon.subject.in_progress());
+    CHECK(find_action<survey_replicas>(daemon.actions));
+}
+
+// A daemon that did not see its order carried out paused the replicas of the new primary.
+TEST_CASE("an order whose target leads is settled without another one")
+{
+    group_state group = synchronous_group();
+    group.primary = "r2";
+    group.replicas = {"r1", "p"};
+    for (const char* target : {"r2", ""}) {
+        fake_store store;
+        store.state.current_claim = claim{"d2", 4, target, store_time{0}, {}, {"r2"}, true};
+        coordinator_driver daemon;
+        store.run(daemon, group);
+        CHECK(find_action<resume_replicas>(daemon.actions));
+        CHECK_FALSE(find_action<survey_replicas>(daemon.actions));
+        store.run(daemon, group, 200ms);
+        CHECK(store.state.current_claim->is_settled());
+    }
+    // An order that names another server, to make that one void, may still be carried out.
+    fake_store store;
+    store.state.current_claim = claim{"d2", 4, "p", store_time{0}, {}, {"r2", "p"}, true};
+    coordinator_driver daemon;
+    store.run(daemon, group);
+    CHECK(find_action<survey_replicas>(daemon.actions));
+}
+
+// A claim that was written late stayed open until some daemon's next start, which then promoted.
+TEST_CASE("a claim without an answer is looked for again, as it may be written late")
+{
+    const group_state group = synchronous_group();
+    fake_store store;
+    coordinator_driver daemon;
+    daemon.run(lost_primary_of(group));
+    daemon.subject.on_shared_state(store.state, daemon.now);
+    daemon.collect();
+    const auto late = find_action<write_claim>(daemon.actions);
+    REQUIRE(late);
+    daemon.subject.on_claim_written(call_outcome::failed, daemon.now);
+    store.run(daemon, group, 5s);
+    CHECK(daemon.actions.empty());
+    store.state.current_claim = late->next;
+    store.state.claim_version = 1;
+    store.run(daemon, group, 20s);
+    CHECK(find_action<resume_replicas>(daemon.actions));
+    store.run(daemon, group, 200ms);
+    CHECK(store.state.current_claim->is_settled());
+}
--- a/packages/proxy/include/gypsumstep/proxy/detail/state.h
+++ b/packages/proxy/include/gypsumstep/proxy/detail/state.h
@@ -214,9 +214,11 @@
     time_point newest_watermark_request{}; ///< when the newest watermark request was sent
     promotion::coordinator promotion;
     std::optional<replica_survey> survey;
-    std::set<server_id> paused_replicas; ///< replicas that a survey stopped from receiving the log
-    time_point resume_at{};              ///< when the paused replicas are to receive the log again
-    time_point resume_until{};           ///< another daemon may have paused them after this time
+    /// Replicas that a survey stopped from receiving the log, and when each may be told again to
+    /// receive it.
+    std::map<server_id, time_point> paused_replicas;
+    time_point resume_at{};    ///< when the paused replicas are to receive the log again
+    time_point resume_until{}; ///< another daemon may have paused them after this time
     std::optional<time_point> resume_check_at; ///< when the claim was asked for, to resume them
     time_point refreshed{};
 
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -434,6 +434,7 @@
     void report_leaderless(database_group& group, const promotion::group_state& state,
                            time_point now);
     void run_promotion_actions(database_group& group, time_point now);
+    void log_claim(const database_group& group, const promotion::claim& claim);
     void start_survey(database_group& group, const promotion::survey_replicas& request,
                       time_point now);
     void continue_survey(database_group& group, time_point now);
@@ -441,6 +442,12 @@
     [[nodiscard]] bool awaits_reference(const database_group& group, time_point now) const;
     void finish_survey(database_group& group, time_point now);
     void resume_replicas(database_group& group, time_point now);
+    /// Has all servers of a group receive the log again, whichever daemon paused them.
+    void start_resuming(database_group& group, const promotion::resume_replicas& request,
+                        time_point now);
+    void on_resumed(database_group& group, const backend_server& server);
+    /// Whether a command to pause the server was sent and has no answer yet.
+    [[nodiscard]] bool may_be_paused_yet(const backend_server& server) const;
     /// Resumes replicas after their time if the store tells of no other daemon's claim.
     void allow_resuming(database_group& group, const promotion::shared_state& state,
                         time_point now);
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -22,13 +22,10 @@
 /// command.
 constexpr duration resume_margin = 400ms;
 
-/// A command to receive the log again is not sent later than this before another daemon may pause
-/// the replica; covers its way to the server.
-constexpr duration resume_transit = 100ms;
-
-/// Replicas whose time to be resumed has passed are resumed within this time after the store was
-/// asked and told of no other daemon's claim. Shorter than another daemon needs to claim and pause.
-constexpr duration resume_check_lifetime = 200ms;
+/// See promotion::coordinator; a command to receive the log again is not sent later than its
+/// transit time before another daemon may pause the replica.
+constexpr duration resume_transit = promotion::coordinator::resume_transit;
+constexpr duration resume_permit = promotion::coordinator::resume_permit;
 
 /// Interval between these questions.
 constexpr duration resume_check_interval = 1s;
@@ -79,8 +76,14 @@
     state.leaderless_confirmed = m_directory.listing_number() > group.leaderless_listing;
     state.old_primary_stops = m_options.old_primary_stops;
     state.sync_replicas = m_routes.settings_of(group.service).sync_replicas;
+    state.awaits_resume = !group.paused_replicas.empty();
     const bool was_in_progress = group.promotion.in_progress();
+    const bool was_settling = group.promotion.is_settling();
     group.promotion.update(state, now);
+    if (!was_settling && group.promotion.is_settling()) {
+        log_decision(importance::notice, "looks for what earlier promotions left", "",
+                     {{"service", group.service}, {"primary", state.primary.value_or("")}});
+    }
     if (!was_in_progress && group.promotion.in_progress()) {
         log_decision(importance::notice, "a promotion is wanted", "",
                      {{"service", group.service},
@@ -115,7 +118,7 @@
 
 void proxy::run_promotion_actions(database_group& group, time_point now)
 {
-    if (group.promotion.in_progress()) {
+    if (group.promotion.in_progress() || group.promotion.is_settling()) {
         request_tick(tick_need::soon);
     }
     for (promotion::action& next : group.promotion.take_actions()) {
@@ -123,6 +126,13 @@
             start_survey(group, *survey, now);
             continue;
         }
+        if (const auto* resume = std::get_if<promotion::resume_replicas>(&next)) {
+            start_resuming(group, *resume, now);
+            continue;
+        }
+        if (const auto* written = std::get_if<promotion::write_claim>(&next)) {
+            log_claim(group, written->next);
+        }
         if (const auto* hand_over = std::get_if<promotion::hand_over_lead>(&next)) {
             m_exchange->learn(hand_over->claim);
             m_exchange->begin_hand_over(group.service, hand_over->former, now);
@@ -144,6 +154,19 @@
     }
 }
 
+void proxy::log_claim(const database_group& group, const promotion::claim& claim)
+{
+    log_decision(importance::notice,
+                 claim.is_settled() ? "records that a promotion is settled"
+                                    : "writes a claim on a group",
+                 "",
+                 {{"service", group.service},
+                  {"token", std::to_string(claim.token)},
+                  {"target", claim.target},
+                  {"orders_open", std::to_string(claim.ordered.size())},
+                  {"paused", claim.paused ? "true" : "false"}});
+}
+
 void proxy::start_survey(database_group& group, const promotion::survey_replicas& request,
                          time_point now)
 {
@@ -181,7 +204,7 @@
     statement::server_command command;
     command.kind = survey_command(survey, server.id);
     if (command.kind == command_kind::pause) {
-        group.paused_replicas.insert(server.id);
+        group.paused_replicas.insert_or_assign(server.id, now);
         group.resume_at = survey.exclusive_until - resume_margin;
         group.resume_until = survey.exclusive_until - resume_transit;
         group.resume_check_at.reset();
@@ -248,7 +271,12 @@
     group.primary_term = std::max(group.primary_term, status.known_term);
     const std::string name = name_of(server.id);
     const bool answers_release = m_exchange && connection->command.kind == command_kind::demote;
+    const bool answers_resume = connection->command.kind == command_kind::resume;
     release(*connection, now);
+    if (answers_resume) {
+        on_resumed(group, server);
+        return;
+    }
     if (answers_release) {
         on_demotion_answered(group, server, status, now);
         return;
@@ -316,7 +344,7 @@
 
 void proxy::resume_replicas(database_group& group, time_point now)
 {
-    if (group.paused_replicas.empty() || now < group.resume_at) {
+    if (group.paused_replicas.empty() || now < group.resume_at || group.promotion.keeps_pause()) {
         return;
     }
     if (now >= group.resume_until) {
@@ -327,23 +355,61 @@
         }
         return;
     }
-    const std::set<server_id> paused = group.paused_replicas;
-    for (const server_id id : paused) {
+    const std::map<server_id, time_point> paused = group.paused_replicas;
+    for (const auto& [id, next_command_at] : paused) {
         backend_server* const server = find_server(id);
-        server_connection* const connection =
-            server == nullptr ? nullptr : find_idle_connection(*server, nullptr);
-        if (server != nullptr && connection == nullptr) {
+        if (server == nullptr) {
+            group.paused_replicas.erase(id);
+            continue;
+        }
+        if (now < next_command_at || may_be_paused_yet(*server)) {
+            continue;
+        }
+        server_connection* const connection = find_idle_connection(*server, nullptr);
+        if (connection == nullptr) {
             open_connection_if_allowed(*server, {}, now);
             continue;
         }
-        group.paused_replicas.erase(id);
-        if (connection != nullptr) {
-            statement::server_command command;
-            command.kind = command_kind::resume;
-            connection->phase = connection_phase::surveying;
-            send(*connection, std::move(command), survey_timeout, now);
+        group.paused_replicas[id] = now + survey_timeout;
+        statement::server_command command;
+        command.kind = command_kind::resume;
+        connection->phase = connection_phase::surveying;
+        send(*connection, std::move(command), survey_timeout, now);
+    }
+}
+
+bool proxy::may_be_paused_yet(const backend_server& server) const
+{
+    return std::any_of(server.connections.begin(), server.connections.end(),
+                       [this](const server_connection_id id) {
+                           const auto found = m_connections.find(id);
+                           return found != m_connections.end() &&
+                                  found->second->phase == connection_phase::surveying &&
+                                  found->second->command.kind == command_kind::pause;
+                       });
+}
+
+void proxy::start_resuming(database_group& group, const promotion::resume_replicas& request,
+                           time_point now)
+{
+    group.survey.reset();
+    for (const backend_server* const server : group.servers) {
+        if (server->id != group.primary) {
+            group.paused_replicas.emplace(server->id, now);
         }
     }
+    group.resume_at = now;
+    group.resume_until = request.exclusive_until - resume_transit;
+    group.resume_check_at.reset();
+    resume_replicas(group, now);
+}
+
+void proxy::on_resumed(database_group& group, const backend_server& server)
+{
+    if (group.paused_replicas.erase(server.id) > 0) {
+        log_decision(importance::notice, "a replica receives the log again", "",
+                     {{"service", group.service}, {"server", name_of(server.id)}});
+    }
 }
 
 void proxy::allow_resuming(database_group& group, const promotion::shared_state& state,
@@ -351,10 +417,11 @@
 {
     const time_point asked_at = *std::exchange(group.resume_check_at, std::nullopt);
     const auto& claim = state.current_claim;
-    const bool is_free = !claim || claim->holder == m_options.daemon ||
-                         !promotion::coordinator::is_leased(*claim, state.now);
-    if (is_free && now - asked_at < resume_check_lifetime) {
-        group.resume_until = asked_at + resume_check_lifetime;
+    const bool is_free =
+        !claim || claim->holder == m_options.daemon ||
+        (!promotion::coordinator::is_leased(*claim, state.now) && claim->ordered.empty());
+    if (is_free && now - asked_at < resume_permit) {
+        group.resume_until = asked_at + resume_permit;
         resume_replicas(group, now);
     }
     else {
--- a/packages/proxy/src/server_side.cpp
+++ b/packages/proxy/src/server_side.cpp
@@ -156,6 +156,10 @@
         on_rolled_back(*connection, content, now);
         return;
     case connection_phase::surveying:
+        if (connection->command.kind == statement::command_kind::resume &&
+            content.error == statement::error_class::none) {
+            on_resumed(group_of(server.service), server);
+        }
         release(*connection, now);
         return;
     case connection_phase::idle:
--- a/packages/proxy/src/timers.cpp
+++ b/packages/proxy/src/timers.cpp
@@ -89,8 +89,9 @@
         }
     }
     erase_gone_servers(group);
-    if (!group.queue.empty() || group.promotion.in_progress() || group.survey || group.release ||
-        !group.paused_replicas.empty() || (is_home && is_failing(group, now))) {
+    if (!group.queue.empty() || group.promotion.in_progress() || group.promotion.is_settling() ||
+        group.survey || group.release || !group.paused_replicas.empty() ||
+        (is_home && is_failing(group, now))) {
         request_tick(tick_need::soon);
     }
 }
