Read the store when no reader has confirmed the configuration

Cause: the store was silent to the readers of a failure domain and to the next daemon that would read it for the others. Each one's loss showed only after a call's timeout, one after the other, so that daemons that the store would have answered had a version 7.1 s after its acknowledgement. The time grew with the number of such readers and had no bound of its own.

Change: a reader's status tells how long ago its contents were known to be the newest ones, also through other readers. A daemon whose contents no reader has confirmed for 4.6 s reads the store beside its reader, until one confirms them again. The field is optional: a status of an earlier version counts as confirmed unless its calls fail.

Tests: "if the store is silent to a third of the daemons, the others soon have its contents" failed before (56 assertions, with the limit taken out) and passes now.

--- a/packages/edge/src/relay_codec.cpp
+++ b/packages/edge/src/relay_codec.cpp
@@ -54,7 +54,8 @@
 QCborArray encode(const relay_status& message)
 {
     return {kind_of(message_kind::status), qint64{message.failing_for.count()},
-            qint64{message.store_clock.count()}, to_cbor(message.era)};
+            qint64{message.store_clock.count()}, to_cbor(message.era),
+            qint64{message.confirmed_ago.count()}};
 }
 
 QCborArray encode(const std::vector<adapter::stored_row>& stored)
@@ -271,7 +272,10 @@
     case message_kind::status: {
         const duration failing_for{fields.number()};
         const promotion::store_time store_clock{fields.number()};
-        message = relay_status{failing_for, store_clock, read_era(fields)};
+        const std::uint64_t era = read_era(fields);
+        // Daemons of earlier versions tell only for how long their calls have failed.
+        const duration confirmed_ago = fields.at_end() ? failing_for : duration{fields.number()};
+        message = relay_status{failing_for, store_clock, era, confirmed_ago};
         break;
     }
     case message_kind::rows:
--- a/packages/edge/src/relay_codec.h
+++ b/packages/edge/src/relay_codec.h
@@ -45,6 +45,8 @@
     duration failing_for{0}; ///< how long the reader's calls to the store have failed
     promotion::store_time store_clock{0};
     std::uint64_t era{0}; ///< newest era of the store that the reader knows; 0 if it knows none
+    /// How long ago the reader's contents were known to be the newest ones.
+    duration confirmed_ago{0};
 
     friend bool operator==(const relay_status&, const relay_status&) = default;
 };
--- a/packages/edge/src/store_view.cpp
+++ b/packages/edge/src/store_view.cpp
@@ -86,16 +86,20 @@
       m_events{std::move(events)}, m_reader{settings.store, era, seed,
                                             [this](store_subject subject,
                                                    const adapter::stored_rows& rows) {
+                                                if (subject == store_subject::configuration) {
+                                                    m_confirmed_at = boot_now();
+                                                }
                                                 on_rows(subject, rows);
                                             }},
-      m_relay_server{
-          {
-              [this] { update_intervals(); },
-              [this] {
-                  return relay_status{failing_for(boot_now()), m_clock.now(), m_era.current()};
-              },
-          },
-          guard},
+      m_relay_server{{
+                         [this] { update_intervals(); },
+                         [this] {
+                             const time_point now = boot_now();
+                             return relay_status{failing_for(now), m_clock.now(), m_era.current(),
+                                                 now - m_confirmed_at};
+                         },
+                     },
+                     guard},
       m_relay_client{m_self,
                      {
                          [this](const std::string& reader, const relay_message& message) {
@@ -412,11 +416,13 @@
         m_upstream = *status;
         m_upstream_at = now;
         m_clock.set(status->store_clock);
-        m_choice.on_message(reader, status->failing_for, now);
+        m_confirmed_at = std::max(m_confirmed_at, now - status->confirmed_ago);
+        m_choice.on_message(reader, status->failing_for, now - status->confirmed_ago, now);
         return;
     }
     m_upstream_at = now;
-    m_choice.on_message(reader, m_upstream ? m_upstream->failing_for : duration{0}, now);
+    m_choice.on_message(reader, m_upstream ? m_upstream->failing_for : duration{0}, time_point{},
+                        now);
     if (const auto* read = std::get_if<relay_rows>(&message)) {
         on_rows(read->subject, read->rows);
     }
--- a/packages/edge/src/store_view.h
+++ b/packages/edge/src/store_view.h
@@ -133,6 +133,7 @@
     std::optional<config_version> m_configuration; ///< version last passed on
     std::array<std::vector<std::string>, store_subject_count> m_reported; ///< malformed rows
     std::optional<relay_status> m_upstream;                               ///< of the reader
+    time_point m_confirmed_at{}; ///< when the configuration was known to be the newest
     time_point m_upstream_at{};
     time_point m_servers_wanted_until{};
     time_point m_reloaded_at{};
--- a/packages/edge/tests/test_store_view.cpp
+++ b/packages/edge/tests/test_store_view.cpp
@@ -268,7 +268,7 @@
         relay_hello{{"d1", "a", "10.0.0.1", 7441, 120}, std::nullopt},
         relay_hello{{"d1", "a", "10.0.0.1", 7441, 120}, row_digests{0, 1, INT64_MAX}},
         relay_urgency{proxy::listing_urgency::soon},
-        relay_status{1500ms, promotion::store_time{99}, 3},
+        relay_status{1500ms, promotion::store_time{99}, 3, 2500ms},
         relay_rows{store_subject::servers,
                    {{{"i-1", std::string{"\x00\xff{", 3}, 7, false}},
                     {},
--- a/packages/relay/include/gypsumstep/relay/source_choice.h
+++ b/packages/relay/include/gypsumstep/relay/source_choice.h
@@ -30,7 +30,8 @@
 /// succeed. The first readers read the store all the time, the next ones only while no reader
 /// before them is healthy, all other daemons only while none is. So a daemon whose reader is
 /// frozen, cut off, slow or refused by the store goes on through the next one, or reads for itself;
-/// and a reader that the store refuses goes on through another one.
+/// and a reader that the store refuses goes on through another one. A daemon whose readers do not
+/// confirm its contents reads the store beside them, however many of them have yet to be tried.
 ///
 /// All times must come from a clock that also advances while the VM is suspended.
 class source_choice {
@@ -48,6 +49,12 @@
     static constexpr duration failure_limit = 1500ms;
     static constexpr duration late_failure_limit = 3s;
 
+    /// A daemon reads the store itself while no reader has confirmed its contents for this long.
+    /// A silent store shows a reader's loss only after the timeout of a call, and several readers
+    /// may follow each other. Longer than a reader's wait for a change and the interval between its
+    /// messages; with a reading, shorter than the time in which a configuration must be in force.
+    static constexpr duration confirmation_limit = 4600ms;
+
     /// How long a reader that was not healthy is passed over.
     static constexpr duration retry_after = 8s;
 
@@ -61,7 +68,9 @@
     /// Records that the subscribed reader sent something.
     /// \param failing_for how long the reader's own calls to the store have failed; zero if they
     ///     succeed
-    void on_message(const std::string& reader, duration failing_for, time_point now);
+    /// \param confirmed_at when the reader's contents were the newest ones, as far as it knows
+    void on_message(const std::string& reader, duration failing_for, time_point confirmed_at,
+                    time_point now);
 
     /// Records for how long this daemon's own calls to the store have failed; zero if they succeed
     /// or are not made.
@@ -82,6 +91,8 @@
                                                            time_point now) const;
     void subscribe(const std::optional<std::string>& reader, time_point now);
     void pass_over(const std::string& reader, time_point now);
+    /// Whether a reader has confirmed lately that this daemon has the newest contents.
+    [[nodiscard]] bool is_confirmed(time_point now) const;
     [[nodiscard]] bool is_passed_over(const std::string& reader, time_point now) const;
 
     std::string m_self;
@@ -91,6 +102,7 @@
     std::optional<std::string> m_current;            ///< the reader subscribed to
     time_point m_heard_at{};                         ///< last message, or start of the subscription
     bool m_heard{false};                             ///< the subscription has brought something
+    time_point m_confirmed_at{};                     ///< newest confirmation by a reader
     duration m_own_failure{0};
 };
 
--- a/packages/relay/src/source_choice.cpp
+++ b/packages/relay/src/source_choice.cpp
@@ -10,6 +10,10 @@
 void source_choice::set_readers(std::vector<std::string> readers, time_point now,
                                 reader_places places)
 {
+    if (m_readers.empty()) {
+        // What was read before the readers were known.
+        m_confirmed_at = now;
+    }
     m_readers = std::move(readers);
     m_places = places;
     const bool is_listed =
@@ -26,11 +30,13 @@
                                     m_readers.begin());
 }
 
-void source_choice::on_message(const std::string& reader, duration failing_for, time_point now)
+void source_choice::on_message(const std::string& reader, duration failing_for,
+                               time_point confirmed_at, time_point now)
 {
     if (m_current != reader) {
         return;
     }
+    m_confirmed_at = std::max(m_confirmed_at, std::min(confirmed_at, now));
     m_heard_at = now;
     m_heard = true;
     const duration limit = is_reader() ? failure_limit : late_failure_limit;
@@ -52,6 +58,11 @@
     }
 }
 
+bool source_choice::is_confirmed(time_point now) const
+{
+    return now - m_confirmed_at < confirmation_limit;
+}
+
 bool source_choice::is_passed_over(const std::string& reader, time_point now) const
 {
     const auto found = m_passed_over.find(reader);
@@ -94,7 +105,7 @@
         return {m_current, true};
     }
     subscribe(first_healthy(place, now), now);
-    return {m_current, !m_current};
+    return {m_current, !m_current || !is_confirmed(now)};
 }
 
 } // namespace gypsumstep::relay
--- a/packages/relay/tests/test_source_choice.cpp
+++ b/packages/relay/tests/test_source_choice.cpp
@@ -15,13 +15,19 @@
 
 const std::vector<std::string> six_readers{"r0", "r1", "r2", "r3", "r4", "r5"};
 
+/// Time after which a call to the store fails that gets no answer.
+constexpr duration call_timeout = 1500ms;
+
 /// Daemons of one failure domain. A subscription brings something each second while the reader is
 /// up and within reach; a daemon that reads the store fails while the store refuses it.
 struct domain {
     std::map<std::string, source_choice> daemons;
     std::map<std::string, source> sources;
-    std::set<std::string> silent;  ///< frozen or cut off from the others
-    std::set<std::string> refused; ///< by the store
+    std::set<std::string> silent;                   ///< frozen or cut off from the others
+    std::set<std::string> refused;                  ///< by the store
+    bool refuses_silently{false};                   ///< a refused call gets no answer
+    std::map<std::string, time_point> called_at;    ///< when the first call failed, or began
+    std::map<std::string, time_point> confirmed_at; ///< when its contents were the newest
     std::map<std::string, duration> failing;
     std::map<std::string, std::size_t> reads; ///< 100 ms steps in which a daemon read the store
     time_point now{100s};
@@ -56,10 +62,22 @@
         const source& current = sources[name] = choice.choose(now);
         const bool fails = current.reads_store && refused.contains(name);
         failing[name] = fails ? failing[name] + step : duration{0};
+        if (fails && refuses_silently) {
+            const time_point since = called_at.emplace(name, now).first->second;
+            failing[name] = now - since >= call_timeout ? now - since : duration{0};
+        }
+        else {
+            called_at.erase(name);
+        }
+        if (current.reads_store && !fails) {
+            confirmed_at[name] = now;
+        }
         reads[name] += current.reads_store ? 1 : 0;
         choice.on_own_calls(failing[name]);
         if (current.reader && !silent.contains(*current.reader)) {
-            choice.on_message(*current.reader, failing[*current.reader], now);
+            confirmed_at[name] = std::max(confirmed_at[name], confirmed_at[*current.reader]);
+            choice.on_message(*current.reader, failing[*current.reader],
+                              confirmed_at[*current.reader], now);
         }
     }
 
@@ -168,6 +186,56 @@
     }
 }
 
+// CONFIG: the readers of a domain and the daemon that follows them got no answer from the store.
+// Each was found out only after a call's timeout, one after the other, and daemons that could have
+// read the store themselves had a configuration 7 s after it was confirmed.
+TEST_CASE("if the store is silent to a third of the daemons, the others soon have its contents")
+{
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        domain site{20};
+        site.run(3s);
+        site.refuses_silently = true;
+        std::uint64_t place = seed;
+        for (const auto& [name, choice] : site.daemons) {
+            place = place * 6364136223846793005ULL + 1442695040888963407ULL;
+            if ((place >> 33U) % 3 == 0) {
+                site.refused.insert(name);
+            }
+        }
+        const time_point change = site.now;
+        site.run(source_choice::confirmation_limit + 200ms);
+        INFO("seed " << seed);
+        for (const auto& [name, choice] : site.daemons) {
+            INFO(name);
+            CHECK((site.refused.contains(name) || site.confirmed_at.at(name) > change));
+        }
+        // The others are served by a reader, if one is left.
+        if (std::all_of(six_readers.begin(), six_readers.end(), [&site](const std::string& reader) {
+                return site.refused.contains(reader);
+            })) {
+            continue;
+        }
+        site.run(5s);
+        for (const auto& [name, choice] : site.daemons) {
+            INFO(name);
+            CHECK(site.confirmed_at.at(name) > change);
+        }
+    }
+}
+
+TEST_CASE("a daemon whose reader confirms its contents again stops reading the store")
+{
+    domain site{20};
+    site.run(5s);
+    site.refuses_silently = true;
+    site.refused = {"r0", "r1", "r2", "r3", "r4", "r5"};
+    site.run(source_choice::confirmation_limit + 200ms);
+    CHECK(site.reading() > max_readers);
+    site.refused.clear();
+    site.run(30s);
+    CHECK(site.reading() == first_readers);
+}
+
 TEST_CASE("while the store refuses all, most daemons do not call it")
 {
     domain site{40};
@@ -201,7 +269,7 @@
     // A connection that brings nothing is given up soon.
     CHECK(choice.choose(time_point{1s} + source_choice::answer_limit).reader == "r2");
     // Messages of a reader that was left do not count.
-    choice.on_message("r1", duration{0}, time_point{2s});
+    choice.on_message("r1", duration{0}, time_point{2s}, time_point{2s});
     CHECK(choice.choose(time_point{2s} + source_choice::answer_limit).reader == "r3");
 }
 
