Apply the entry daemon's configuration to each forwarded operation

What callers would see: a statement on a forwarded session was given up by the timeout that was in force at the session's start, also after it had been raised; and an operation ran on a removed route while its home had an older configuration (CONFIG).

Cause: the entry daemon kept the timeout of the session's start, and checked only the key of later operations.

Change: before each operation the entry daemon asks its own configuration for a refusal and for the timeout. A removed route is answered at once, and the session goes on.

Tests: "a raised timeout applies to the next operation of a forwarded session" and "an operation of a forwarded session whose route was removed is not sent to its home" failed before (trial with the two checks taken out) and pass now. The test of removed keys uses the new type and checks what it did.

--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -128,10 +128,7 @@
       m_forwarder{m_client_listener,
                   m_roster.homes(),
                   seed_of(m_settings),
-                  [this](const adapter::start_message& start) {
-                      const directory::route* const route = m_proxy.routes().find(start.database);
-                      return route == nullptr || m_proxy.authorize(*route, start.key).granted;
-                  },
+                  [this](const adapter::start_message& start) { return terms_of(start); },
                   [this](session_id id, const adapter::start_message& start) {
                       m_proxy.on_client_connected(id, boot_now());
                       m_proxy.on_client_start(id, start.database, start.key, boot_now());
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -73,6 +73,8 @@
     void run(proxy::statement_finished& action);
     void run(proxy::shutdown_complete& action);
     client_events client_listener_events();
+    /// What the configuration in force says about the next operation of a forwarded session.
+    [[nodiscard]] operation_terms terms_of(const adapter::start_message& start) const;
     client_events forwarding_listener_events();
     client_listener& listener_of(session_id id);
     operation_limits limits_of_forwarded_sessions();
--- a/packages/edge/src/edge_sessions.cpp
+++ b/packages/edge/src/edge_sessions.cpp
@@ -68,6 +68,17 @@
     run_actions();
 }
 
+operation_terms edge_process::terms_of(const adapter::start_message& start) const
+{
+    const directory::route* const route = m_proxy.routes().find(start.database);
+    if (route == nullptr) {
+        return {statement::error_class::unknown_database, duration{0}};
+    }
+    const bool granted = m_proxy.authorize(*route, start.key).granted;
+    return {granted ? statement::error_class::none : statement::error_class::unauthorized,
+            route->statement_timeout};
+}
+
 bool edge_process::serves_session(const std::string& service, std::uint32_t max_connections,
                                   const homes::account_traffic& account) const
 {
--- a/packages/edge/src/session_forwarder.cpp
+++ b/packages/edge/src/session_forwarder.cpp
@@ -36,10 +36,10 @@
 
 session_forwarder::session_forwarder(
     client_listener& clients, homes::home_table& homes, std::uint64_t seed,
-    std::function<bool(const adapter::start_message&)> is_authorized,
+    std::function<operation_terms(const adapter::start_message&)> terms_of,
     std::function<void(session_id, const adapter::start_message&)> serve_here,
     operation_limits limits)
-    : m_clients{clients}, m_homes{homes}, m_random{seed}, m_is_authorized{std::move(is_authorized)},
+    : m_clients{clients}, m_homes{homes}, m_random{seed}, m_terms_of{std::move(terms_of)},
       m_serve_here{std::move(serve_here)}, m_limits{std::move(limits)}, m_next_turn{m_random.below(
                                                                             UINT32_MAX)}
 {
@@ -221,11 +221,7 @@
         refuse_and_end(id, statement::error_class::busy, "this daemon shuts down; reconnect");
         return;
     }
-    // The home may have an older configuration, so this daemon checks as well.
-    if (session.tracker.is_idle() && !m_is_authorized(session.request.start)) {
-        log().warn("refused an operation: its key was removed",
-                   {{"session", id.value()}, {"request_id", std::string_view{request.id}}});
-        refuse_and_end(id, statement::error_class::unauthorized, "the key is not known any more");
+    if (session.tracker.is_idle() && !apply_terms(id, request)) {
         return;
     }
     session.tracker.on_statement(request, session.last_used);
@@ -234,6 +230,30 @@
     session.socket->flush();
 }
 
+bool session_forwarder::apply_terms(session_id id, const statement::statement& request)
+{
+    // The home may have an older configuration, and the session's start may be long ago.
+    session_entry& session = *m_sessions.at(id);
+    const operation_terms terms = m_terms_of(session.request.start);
+    if (terms.refusal == statement::error_class::none) {
+        session.request.statement_timeout = terms.statement_timeout;
+        return true;
+    }
+    const bool has_route = terms.refusal != statement::error_class::unknown_database;
+    log().warn(has_route ? "refused an operation: its key was removed"
+                         : "refused an operation: its route was removed",
+               {{"session", id.value()}, {"request_id", std::string_view{request.id}}});
+    if (has_route) {
+        refuse_and_end(id, terms.refusal, "the key is not known any more");
+        return false;
+    }
+    statement::answer answer;
+    answer.error = terms.refusal;
+    answer.error_text = "the route was removed";
+    m_clients.send_answer(id, answer);
+    return false;
+}
+
 void session_forwarder::read_from_home(session_id id)
 {
     auto found = m_sessions.find(id);
--- a/packages/edge/src/session_forwarder.h
+++ b/packages/edge/src/session_forwarder.h
@@ -35,18 +35,26 @@
     std::function<void(session_id)> cancel;
 };
 
+/// What the configuration in force says about the next operation of a forwarded session.
+struct operation_terms {
+    /// Why the operation is refused; none if it is not.
+    statement::error_class refusal{statement::error_class::none};
+    duration statement_timeout{0};
+
+    friend bool operator==(const operation_terms&, const operation_terms&) = default;
+};
+
 /// Most statements of a session that wait for the end of an earlier one or for a token.
 inline constexpr std::size_t max_held_statements = 16;
 
 /// Passes lines between clients and homes, one connection to a home for each session.
 class session_forwarder : public QObject {
 public:
-    /// \param is_authorized whether the client that sent this start may use its database under the
-    ///     configuration in force
+    /// \param terms_of what the configuration in force says about the session with this start
     /// \param serve_here starts a session on this daemon, which is a home as well, since the homes
     ///     that its account prefers did not accept it
     session_forwarder(client_listener& clients, homes::home_table& homes, std::uint64_t seed,
-                      std::function<bool(const adapter::start_message&)> is_authorized,
+                      std::function<operation_terms(const adapter::start_message&)> terms_of,
                       std::function<void(session_id, const adapter::start_message&)> serve_here,
                       operation_limits limits = {});
 
@@ -109,6 +117,9 @@
     void on_client_line(session_id id, const std::string& line);
     /// Sends a statement to the home, or refuses it.
     void pass_statement(session_id id, const held_statement& passed);
+    /// Applies the configuration in force to a session's next operation; returns whether it may
+    /// run.
+    bool apply_terms(session_id id, const statement::statement& request);
     /// Passes held statements on as far as the session's state and its account's limit permit.
     void release_held(session_id id);
     void on_token_decided(session_id id, const std::optional<std::string>& refusal);
@@ -125,7 +136,7 @@
     client_listener& m_clients;
     homes::home_table& m_homes;
     random_source m_random;
-    std::function<bool(const adapter::start_message&)> m_is_authorized;
+    std::function<operation_terms(const adapter::start_message&)> m_terms_of;
     std::function<void(session_id, const adapter::start_message&)> m_serve_here;
     operation_limits m_limits;
     std::map<session_id, std::unique_ptr<session_entry>> m_sessions;
--- a/packages/edge/tests/test_session_forwarder.cpp
+++ b/packages/edge/tests/test_session_forwarder.cpp
@@ -48,7 +48,7 @@
 struct forwarding_daemon {
     fake_home home;
     homes::home_table table{"self", "b", {}};
-    bool authorized{true};
+    operation_terms terms{statement::error_class::none, 100ms};
     metrics::registry registry;
     connection_guard guard{{}, registry};
     bool limited{false};
@@ -58,7 +58,7 @@
     session_forwarder forwarder{clients,
                                 table,
                                 1,
-                                [this](const adapter::start_message&) { return authorized; },
+                                [this](const adapter::start_message&) { return terms; },
                                 [](session_id, const adapter::start_message&) {},
                                 limits()};
     QTcpSocket client;
@@ -271,7 +271,7 @@
     daemon.send("QUERY 1 BEGIN\r\n");
     daemon.home.answer("DONE -\r\nREADY T -\r\n");
     REQUIRE(run_until([&] { return daemon.client_received.ends_with("READY T -\r\n"); }));
-    daemon.authorized = false;
+    daemon.terms.refusal = statement::error_class::unauthorized;
     daemon.send("QUERY 1 ROLLBACK\r\n");
     daemon.client_received.clear();
     daemon.home.answer("DONE -\r\nREADY I -\r\n");
@@ -283,6 +283,38 @@
     CHECK(daemon.home.received.empty());
 }
 
+// CONFIG: the entry daemon gave statements up by the timeout that was in force at the session's
+// start.
+TEST_CASE("a raised timeout applies to the next operation of a forwarded session")
+{
+    application();
+    forwarding_daemon daemon;
+    daemon.start();
+    daemon.terms.statement_timeout = 5s;
+    daemon.send("QUERY 1 READ a\r\n");
+    daemon.forwarder.on_tick(boot_now() + 4s);
+    CHECK(daemon.forwarder.session_count() == 1);
+    daemon.forwarder.on_tick(boot_now() + 7s);
+    CHECK(run_until([&] { return daemon.client_received.starts_with("ERROR ABORTED"); }));
+}
+
+// CONFIG: an operation ran on a removed route, as its home had an older configuration.
+TEST_CASE("an operation of a forwarded session whose route was removed is not sent to its home")
+{
+    application();
+    forwarding_daemon daemon;
+    daemon.start();
+    daemon.terms.refusal = statement::error_class::unknown_database;
+    daemon.home.received.clear();
+    daemon.client.write("QUERY 1 READ a\r\n");
+    CHECK(run_until([&] { return daemon.client_received.starts_with("ERROR NODB"); }));
+    CHECK(daemon.client_received.ends_with("READY I -\r\n"));
+    CHECK(daemon.home.received.empty());
+    // The session goes on, as the route may be added again.
+    daemon.terms.refusal = statement::error_class::none;
+    daemon.send("QUERY 2 READ a\r\n");
+}
+
 // Guards against a client with an unknown key that is sent to one home after the other.
 TEST_CASE("a home's refusal of a key goes to the client")
 {
@@ -326,7 +358,7 @@
     connection_guard guard{{}, registry};
     client_listener clients{handlers, session_id{1}, adapter::line_sender::client, guard};
     session_forwarder forwarding{clients, table, 1,
-                                 [](const adapter::start_message&) { return true; },
+                                 [](const adapter::start_message&) { return operation_terms{}; },
                                  [&](session_id id, const adapter::start_message& message) {
                                      served = message.database;
                                      listener->send_start_answer(id, {});
