Ask for the first list of daemons until it was read

Cause: the first list of daemons was asked for again only while the daemon's calls to the store failed. The SIGHUP, or a forwarded session, had the configuration read with success, which ended the failure for all calls, and the list was never asked for again.

Change: it is asked for every 0.5 s until it was read. A daemon that stays out of service logs every 5 s which data of the store it waits for.

Test: "a daemon that starts without the store reads the list of daemons whatever it reads first" failed before (4 of its 8 assertions) and passes now.

--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -16,6 +16,10 @@
 namespace gypsumstep::edge {
 namespace {
 
+/// Interval between the lines that tell what a daemon that is not ready waits for; longer than a
+/// start takes while the store answers.
+constexpr duration unready_report_interval = 5s;
+
 /// Interval between ticks while sessions wait for their start or the process is to end.
 constexpr duration waiting_tick_interval = 20ms;
 
@@ -245,6 +249,7 @@
     const time_point now = boot_now();
     m_proxy.on_tick(now);
     m_store_view.on_tick(now);
+    report_unready(now);
     retry_forwarded_starts();
     run_client_starts();
     m_forwarder.on_tick(now);
@@ -441,6 +446,28 @@
     m_store_view.reload();
 }
 
+void edge_process::report_unready(time_point now)
+{
+    const bool waits = !m_stop_deadline && !(m_proxy.ready() && m_roster.is_loaded());
+    if (!waits) {
+        m_unready_since.reset();
+        return;
+    }
+    if (!m_unready_since) {
+        m_unready_since = now;
+        m_next_unready_report = now + unready_report_interval;
+    }
+    if (now < m_next_unready_report) {
+        return;
+    }
+    m_next_unready_report = now + unready_report_interval;
+    log().warn("not ready for clients: waits for data of the store",
+               {{"configuration", m_proxy.routes().loaded() ? "read" : "missing"},
+                {"daemons", m_roster.is_loaded() ? "read" : "missing"},
+                {"servers", m_proxy.has_server_list() ? "read" : "missing"},
+                {"waiting_us", (now - *m_unready_since).count()}});
+}
+
 adapter::http_response edge_process::readiness_response(const std::string& path)
 {
     if (path != adapter::readiness_path) {
--- a/packages/edge/src/edge_process.h
+++ b/packages/edge/src/edge_process.h
@@ -73,6 +73,8 @@
     void run(proxy::statement_finished& action);
     void run(proxy::shutdown_complete& action);
     client_events client_listener_events();
+    /// Logs at intervals what a daemon waits for that stays out of service.
+    void report_unready(time_point now);
     /// What the configuration in force says about the next operation of a forwarded session.
     [[nodiscard]] operation_terms terms_of(const adapter::start_message& start) const;
     client_events forwarding_listener_events();
@@ -143,6 +145,8 @@
     QTimer m_tick_timer;
     duration m_scheduled_interval{duration::max()}; ///< until the tick that the timer waits for
     bool m_last_ready{false};
+    std::optional<time_point> m_unready_since;
+    time_point m_next_unready_report{};
     bool m_running_actions{false};
     bool m_sessions_ended{false}; ///< during a shutdown: the proxy has closed all its sessions
     std::optional<time_point> m_stop_deadline;
--- a/packages/edge/src/store_view.cpp
+++ b/packages/edge/src/store_view.cpp
@@ -156,6 +156,7 @@
         return false;
     }
     // The list of daemons comes first: it tells who reads the store.
+    m_next_first_read = boot_now() + first_list_backoff;
     m_reader.read_now(store_subject::daemons);
     return true;
 }
@@ -163,7 +164,8 @@
 void store_view::on_tick(time_point now)
 {
     if (m_lists_read == 0) {
-        if (m_reader.failing_for(now) > duration{0} && now >= m_next_first_read) {
+        // Whether other calls succeed says nothing about this list.
+        if (now >= m_next_first_read) {
             m_next_first_read = now + first_list_backoff;
             m_reader.read_now(store_subject::daemons);
         }
--- a/packages/edge/tests/test_store_view.cpp
+++ b/packages/edge/tests/test_store_view.cpp
@@ -226,6 +226,25 @@
     CHECK(here.run([&] { return here[0].knows(2) && here[5].knows(2); }));
 }
 
+// RECOVER: a daemon that had started while the store was away stayed out of service for good if a
+// SIGHUP, or a session of another daemon, had it read the configuration first at the store's
+// return.
+TEST_CASE(
+    "a daemon that starts without the store reads the list of daemons whatever it reads first")
+{
+    for (const std::size_t count : {1U, 6U}) {
+        site here{count};
+        here.store.set_trouble(store_trouble::refusing);
+        here[0].start();
+        const time_point return_at = boot_now() + 300ms;
+        REQUIRE(here.run([&] { return boot_now() >= return_at; }));
+        here.store.set_trouble(store_trouble::none);
+        here[0].view->reload();
+        CHECK(here.run([&] { return here[0].daemon_lists > 0; }));
+        CHECK(here.run([&] { return here[0].knows(1) && !here[0].lists.empty(); }));
+    }
+}
+
 // CONFIG: a daemon that is told the store's contents by another has no call of its own that shows
 // the store's era.
 TEST_CASE("a daemon behind a reader follows the store back, and keeps the newest configuration")
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -157,6 +157,9 @@
     /// What has no answer at the end of the grace period is answered with an error.
     void begin_shutdown(time_point now);
 
+    /// Whether a list of the servers was read.
+    [[nodiscard]] bool has_server_list() const { return m_directory.loaded(); }
+
     /// Returns true if the proxy can serve new clients.
     [[nodiscard]] bool ready() const;
 
