End a stopping process only when its answers have left it

Cause: the process ended once no session was left. A session ends when its last answer is handed to the socket, and a closed connection was forgotten with the answer that it still had to send.

Change: the listeners of clients and of forwarded sessions tell whether bytes of answers are unsent, also on closed connections.

--- a/packages/edge/src/client_listener.cpp
+++ b/packages/edge/src/client_listener.cpp
@@ -301,7 +301,18 @@
     };
     update();
     connect(pending, &QTcpSocket::bytesWritten, this, update);
-    connect(pending, &QTcpSocket::disconnected, this, [this, guarded] { m_guard.remove(guarded); });
+    ++m_closing;
+    connect(pending, &QTcpSocket::disconnected, this, [this, guarded] {
+        --m_closing;
+        m_guard.remove(guarded);
+    });
+}
+
+bool client_listener::has_unsent_answers() const
+{
+    return m_closing > 0 ||
+           std::any_of(m_connections.begin(), m_connections.end(),
+                       [](const auto& entry) { return entry.second->socket->bytesToWrite() > 0; });
 }
 
 void client_listener::remove_connection(session_id id)
--- a/packages/edge/src/client_listener.h
+++ b/packages/edge/src/client_listener.h
@@ -58,6 +58,9 @@
     /// Closes a connection after its pending bytes were written; no event follows.
     void close(session_id id);
 
+    /// Whether bytes of answers are not sent yet, also on connections that were closed.
+    [[nodiscard]] bool has_unsent_answers() const;
+
     /// Accepts no further connections.
     void stop_listening() { m_server.close(); }
 
@@ -91,6 +94,7 @@
     QTcpServer m_server;
     std::map<session_id, std::unique_ptr<connection>> m_connections;
     std::uint64_t m_next_session;
+    std::size_t m_closing{0}; ///< closed connections with answers that are not sent yet
     adapter::line_sender m_sender;
     connection_guard& m_guard;
 };
--- a/packages/edge/src/edge_process.cpp
+++ b/packages/edge/src/edge_process.cpp
@@ -256,8 +256,11 @@
     run_actions();
     const bool sessions_ended =
         m_sessions_ended && !m_proxy.has_sessions() && m_forwarder.session_count() == 0;
-    if (m_stop_deadline && (sessions_ended || now >= *m_stop_deadline)) {
-        log().info("stopped: no client is connected any more, or the grace period has ended");
+    const bool answers_sent =
+        !m_client_listener.has_unsent_answers() && !m_forwarding_listener.has_unsent_answers();
+    if (m_stop_deadline && ((sessions_ended && answers_sent) || now >= *m_stop_deadline)) {
+        log().info("stopped: no client is connected any more, or the grace period has ended",
+                   {{"sessions_ended", sessions_ended}, {"answers_sent", answers_sent}});
         QCoreApplication::quit();
     }
     m_log_output.flush();
--- a/packages/edge/tests/test_client_listener.cpp
+++ b/packages/edge/tests/test_client_listener.cpp
@@ -65,3 +65,44 @@
         REQUIRE(run_until([&] { return closed == round; }));
     }
 }
+
+// LOST: a process that was asked to stop ended while the end of an answer was in its own buffer, as
+// the closed connection was forgotten.
+TEST_CASE("the answer of a closed connection counts as unsent until the client has received it")
+{
+    application();
+    metrics::registry registry;
+    connection_guard guard{{}, registry};
+    std::optional<session_id> started;
+    client_events handlers;
+    handlers.connected = [](session_id) {};
+    handlers.started = [&](session_id id, const adapter::start_message&) { started = id; };
+    handlers.statement_received = [](session_id, const statement::statement&) {};
+    handlers.closed = [](session_id) {};
+    handlers.malformed = [](session_id, const std::string&) {};
+    client_listener clients{handlers, session_id{1}, adapter::line_sender::client, guard};
+    REQUIRE(clients.listen("127.0.0.1", listen_port));
+    QTcpSocket client;
+    client.setReadBufferSize(1);
+    client.connectToHost(QHostAddress::LocalHost, listen_port);
+    client.write("START orders k1\r\n");
+    REQUIRE(run_until([&] { return started.has_value(); }));
+    CHECK_FALSE(clients.has_unsent_answers());
+    const std::string line(100'000, 'x');
+    std::size_t sent = 0;
+    constexpr std::size_t most = 50'000'000;
+    while (!clients.has_unsent_answers() && sent < most) {
+        clients.write(*started, line);
+        sent += line.size();
+    }
+    REQUIRE(clients.has_unsent_answers());
+    clients.close(*started);
+    CHECK(clients.has_unsent_answers());
+    client.setReadBufferSize(0);
+    std::size_t received = 0;
+    CHECK(run_until([&] {
+        received += static_cast<std::size_t>(client.readAll().size());
+        return received == sent;
+    }));
+    CHECK(run_until([&] { return !clients.has_unsent_answers(); }));
+}
