--- a/packages/promotion/include/gypsumstep/promotion/coordinator.h
+++ b/packages/promotion/include/gypsumstep/promotion/coordinator.h
@@ -284,21 +284,29 @@
     void claim_lead(time_point now);
     void write(claim next, step following, time_point now);
     void send_order(time_point now);
+
+    // Settlement of earlier promotions.
+    /// Records the claim that the store holds.
     void learn_claim(const std::optional<claim>& current);
+    /// The ordered target leads, or the order for the present primary was answered.
     void on_target_leads(time_point now);
     [[nodiscard]] bool settles_own_claim() const;
     /// Whether an order that is known to this daemon may still change the primary.
     [[nodiscard]] bool has_open_order() const;
     /// Whether \p server is the newest target of such orders.
-    [[nodiscard]] bool is_ordered(const std::string& server) const;
+    [[nodiscard]] bool is_newest_ordered(const std::string& server) const;
     /// The targets of such orders once \p server is ordered, too.
     [[nodiscard]] std::vector<std::string> ordered_with(const std::string& server) const;
+    /// Decides by the claim that was read whether there is anything to settle, and by whom.
     void begin_settlement(time_point now);
     void continue_settlement(const claim& last, time_point now);
+    /// Claims the newest ordered server again, or the present primary if it cannot lead any more.
     void claim_settlement_target(time_point now);
     void claim_present_primary(time_point now);
+    /// Has paused servers receive the log again, and records then that nothing is left to settle.
     void close_claim(time_point now);
     void write_closed_claim(time_point now);
+
     [[nodiscard]] bool holds_claim(const shared_state& state) const;
     /// Begins a new attempt after a backoff. \p obstacle must be a string literal.
     void retry(const char* obstacle, time_point now);
@@ -330,13 +338,13 @@
     bool m_replica_keeps_up{false}; ///< as checked in this attempt
     bool m_no_target_found{false};  ///< in the last survey
     claim m_claim;
-    claim m_newest_claim;                      ///< newest one read or written by this daemon
-    std::uint64_t m_settled_token{0};          ///< no order up to it can take effect any more
-    bool m_settling{false};                    ///< the steps only settle an earlier promotion
-    bool m_names_present_primary{false};       ///< m_claim only makes earlier orders void
-    std::optional<time_point> m_settlement_at; ///< when the claim is read to settle it
-    bool m_claim_may_follow{false};            ///< a claim without an answer may be written late
-    bool m_was_updated{false};
+    claim m_newest_claim;                         ///< newest one read or written by this daemon
+    std::uint64_t m_settled_token{0};             ///< no order up to it can take effect any more
+    bool m_settling{false};                       ///< the steps only settle an earlier promotion
+    bool m_names_present_primary{false};          ///< m_claim only makes earlier orders void
+    std::optional<time_point> m_settlement_at;    ///< when the claim is read to settle it
+    bool m_claim_may_follow{false};               ///< a claim without an answer may be written late
+    bool m_was_updated{false};                    ///< update() was called
     std::uint32_t m_orders_sent{0};               ///< orders sent under the current claim
     std::optional<std::string> m_rejected_target; ///< the target that the platform refused
     std::uint32_t m_thin_surveys{0};
--- a/packages/promotion/tests/test_coordinator.cpp
+++ b/packages/promotion/tests/test_coordinator.cpp
@@ -1099,3 +1099,25 @@
     store.run(daemon, group, 200ms);
     CHECK(store.state.current_claim->is_settled());
 }
+
+// An order without an answer was taken for settled because an older one had made its target lead.
+TEST_CASE("a target that leads before its order was answered does not settle orders for others")
+{
+    group_state group = lost_primary_of(synchronous_group());
+    fake_store store;
+    store.state.current_claim = claim{"d2", 4, "r1", store_time{0}, {}, {"r2", "r1"}, true};
+    coordinator_driver daemon;
+    store.run(daemon, group);
+    REQUIRE(find_action<survey_replicas>(daemon.actions));
+    daemon.subject.on_survey({{{"r1", status_at(10)}, {"r2", status_at(12)}}, {}}, daemon.now);
+    daemon.collect();
+    store.serve(daemon);
+    REQUIRE(find_action<order_promotion>(daemon.actions)->target == "r2");
+    group.primary = "r2";
+    group.replicas = {"r1"};
+    daemon.run(group, 100ms);
+    CHECK(daemon.subject.keeps_pause());
+    daemon.subject.on_order(call_outcome::done, daemon.now);
+    store.run(daemon, group, 200ms);
+    CHECK_FALSE(daemon.subject.keeps_pause());
+}
--- a/packages/proxy/include/gypsumstep/proxy/proxy.h
+++ b/packages/proxy/include/gypsumstep/proxy/proxy.h
@@ -450,7 +450,7 @@
                         time_point now);
     void on_resumed(database_group& group, const backend_server& server);
     /// Whether a command to pause the server was sent and has no answer yet.
-    [[nodiscard]] bool may_be_paused_yet(const backend_server& server) const;
+    [[nodiscard]] bool has_unanswered_pause(const backend_server& server) const;
     /// Resumes replicas after their time if the store tells of no other daemon's claim.
     void allow_resuming(database_group& group, const promotion::shared_state& state,
                         time_point now);
--- a/packages/proxy/src/promotions.cpp
+++ b/packages/proxy/src/promotions.cpp
@@ -362,7 +362,7 @@
             group.paused_replicas.erase(id);
             continue;
         }
-        if (now < next_command_at || may_be_paused_yet(*server)) {
+        if (now < next_command_at || has_unanswered_pause(*server)) {
             continue;
         }
         server_connection* const connection = find_idle_connection(*server, nullptr);
@@ -378,7 +378,7 @@
     }
 }
 
-bool proxy::may_be_paused_yet(const backend_server& server) const
+bool proxy::has_unanswered_pause(const backend_server& server) const
 {
     return std::any_of(server.connections.begin(), server.connections.end(),
                        [this](const server_connection_id id) {
